--- a/src/app/internal/settings_reader.cpp
+++ b/src/app/internal/settings_reader.cpp
@@ -1,6 +1,5 @@
 #include "app/settings_reader.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -39,21 +38,6 @@
     return value;
 }
 
-std::optional<endpoint> parse_endpoint(const std::string& text) {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    const std::string address = text.substr(0, colon);
-    const auto port = parse_number<std::uint16_t>(text.substr(colon + 1));
-    boost::system::error_code error;
-    boost::asio::ip::make_address(address, error);
-    if (error || !port || *port == 0) {
-        return std::nullopt;
-    }
-    return endpoint(address, *port);
-}
-
 bool is_name(const std::string& text) {
     const auto allowed = [](char c) {
         return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
--- /dev/null
+++ b/src/base/latency_histogram.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/metric_registry.h"
+
+#include <array>
+#include <string>
+
+namespace oriole {
+
+/// Durations counted in fixed buckets, exposed as a histogram in milliseconds. Thread-safe.
+class latency_histogram {
+public:
+    /// Precondition: the registry outlives the histogram and `name` is not used otherwise.
+    latency_histogram(metric_registry& metrics, const std::string& name);
+
+    void add(clock::duration value) noexcept;
+
+private:
+    /// Upper bounds in milliseconds: each about twice the one before.
+    static constexpr std::array<int, 13> bounds_ms{1,   2,   5,   10,   20,   50,  100,
+                                                   200, 500, 1000, 2000, 5000, 10000};
+
+    std::array<metric*, bounds_ms.size()> m_buckets{};
+    metric& m_all;
+    metric& m_count;
+    metric& m_sum_ms;
+};
+
+} // namespace oriole
--- a/src/base/types/endpoint.h
+++ b/src/base/types/endpoint.h
@@ -2,7 +2,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace oriole {
@@ -28,4 +30,8 @@
     std::uint16_t m_port = 0;
 };
 
+/// Reads "ADDRESS:PORT" with an IPv4 address or, without brackets, an IPv6 address; nullopt for
+/// anything else. Thread-safe.
+[[nodiscard]] std::optional<endpoint> parse_endpoint(std::string_view text);
+
 } // namespace oriole
--- /dev/null
+++ b/src/base/types/log_entry.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace oriole {
+
+/// One structured log line: an event and its fields, as `key=value`. Values with blanks or quotes
+/// are quoted. Not thread-safe.
+class log_entry {
+public:
+    explicit log_entry(std::string_view event) { m_text.append("event=").append(event); }
+
+    log_entry& add(std::string_view key, std::string_view value);
+
+    template <class Number>
+    requires std::is_arithmetic_v<Number> log_entry& add(std::string_view key, Number value) {
+        return add(key, std::string_view(std::to_string(value)));
+    }
+
+    [[nodiscard]] const std::string& text() const noexcept { return m_text; }
+
+    friend bool operator==(const log_entry&, const log_entry&) = default;
+
+private:
+    std::string m_text;
+};
+
+} // namespace oriole
--- /dev/null
+++ b/src/entry/entry_instance.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/decision_log.h"
+#include "base/metric_registry.h"
+#include "entry/caller_channel.h"
+#include "entry/fleet_store.h"
+#include "entry/server_channel.h"
+#include "entry/types/entry_settings.h"
+
+#include <memory>
+
+namespace oriole::entry {
+
+/// The platform, as an entry instance needs it.
+class entry_platform {
+public:
+    virtual ~entry_platform() = default;
+
+    /// Connections to servers, for any thread's executor.
+    [[nodiscard]] virtual server_connector& connector() = 0;
+
+    [[nodiscard]] virtual std::unique_ptr<caller_listener>
+    make_listener(boost::asio::any_io_executor executor, const endpoint& address) = 0;
+
+    /// Used on the executor's thread only.
+    [[nodiscard]] virtual std::unique_ptr<fleet_store>
+    make_store(boost::asio::any_io_executor executor) = 0;
+
+    /// Used on the executor's thread only.
+    [[nodiscard]] virtual std::unique_ptr<promotion_authority>
+    make_authority(boost::asio::any_io_executor executor) = 0;
+};
+
+/// One entry instance that serves sessions. run() blocks until it was asked to stop.
+class entry_instance {
+public:
+    virtual ~entry_instance() = default;
+
+    /// Serves until SIGTERM or SIGINT. Throws when an address of the settings cannot be bound.
+    virtual void run() = 0;
+};
+
+/// Precondition: the platform, the log and the metrics outlive the instance.
+[[nodiscard]] std::unique_ptr<entry_instance> make_entry_instance(const entry_settings& settings,
+                                                                  entry_platform& platform,
+                                                                  decision_log& log,
+                                                                  metric_registry& metrics);
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/caller_service.cpp
@@ -0,0 +1,255 @@
+#include <utility>
+
+#include "entry/internal/caller_service.h"
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using sessions::answer_code;
+using sessions::session_step;
+using sessions::statement_kind;
+using sessions::transaction_state;
+
+std::string text_of(const machines::log_position& position) {
+    return std::to_string(position.term()) + "." + std::to_string(position.offset());
+}
+
+} // namespace
+
+asio::awaitable<void> caller_service::serve() {
+    const auto self = shared_from_this();
+    try {
+        if (co_await open()) {
+            co_await serve_statements();
+        }
+    } catch (const caller_lost& lost) {
+        m_context.log().write(log_entry("caller_lost")
+                                  .add("database", m_database)
+                                  .add("account", m_account.str())
+                                  .add("reason", lost.what()));
+    }
+    end_transaction();
+    m_channel->close();
+}
+
+asio::awaitable<bool> caller_service::open() {
+    const auto request = co_await m_channel->accept();
+    if (!request) {
+        co_return false;
+    }
+    const auto grant = m_context.authorize(request->database, request->key);
+    if (grant.code != answer_code::ok) {
+        const auto& config = m_context.view()->config;
+        m_context.log().write(log_entry("session_refused")
+                                  .add("database", request->database)
+                                  .add("account", grant.account.str())
+                                  .add("config_version", config == nullptr ? 0 : config->version)
+                                  .add("reason", to_string(grant.code)));
+        co_await m_channel->refuse(grant.code);
+        co_return false;
+    }
+    m_database = request->database;
+    m_key = request->key;
+    m_account = grant.account;
+    m_route = *grant.route;
+    co_await m_channel->welcome();
+    co_return true;
+}
+
+asio::awaitable<void> caller_service::serve_statements() {
+    while (auto statement = co_await next_statement()) {
+        m_running = true;
+        const bool open = co_await handle(std::move(*statement));
+        m_running = false;
+        if (!open) {
+            co_return;
+        }
+    }
+}
+
+bool caller_service::idle() const {
+    return !m_running && m_session.state() == transaction_state::none && !m_channel->has_input();
+}
+
+void caller_service::close() {
+    m_channel->close();
+}
+
+void caller_service::abort_transaction() {
+    if (m_session.state() != transaction_state::open || m_running) {
+        return;
+    }
+    end_transaction();
+    m_aborted = true;
+}
+
+asio::awaitable<std::optional<sessions::statement>> caller_service::next_statement() {
+    const auto view = m_context.view();
+    const auto idle_limit =
+        view->config == nullptr ? clock::duration::zero() : view->config->transaction_idle;
+    if (m_transaction != nullptr && idle_limit > clock::duration::zero() &&
+        !co_await m_channel->wait_for_input(idle_limit)) {
+        m_context.log().write(log_entry("transaction_idle")
+                                  .add("database", m_database)
+                                  .add("account", m_account.str())
+                                  .add("server", m_transaction->pool->server().id.str())
+                                  .add("outcome", "rolled_back"));
+        abort_transaction();
+    }
+    co_return co_await m_channel->next();
+}
+
+asio::awaitable<bool> caller_service::handle(sessions::statement statement) {
+    const auto arrived = steady_clock().now();
+    const auto permitted = permission();
+    if (permitted != answer_code::ok) {
+        end_transaction();
+        m_context.log().write(log_entry("session_ended")
+                                  .add("request", statement.id)
+                                  .add("database", m_database)
+                                  .add("account", m_account.str())
+                                  .add("reason", to_string(permitted)));
+        sessions::server_answer answer;
+        answer.code = permitted;
+        co_await reply(std::move(answer));
+        co_return false;
+    }
+    statement_run run;
+    run.decision = m_session.decide(statement);
+    run.arrived = arrived;
+    run.account = m_account;
+    run.values = m_session.values();
+    run.own_commit = m_session.last_commit();
+    run.statement = std::move(statement);
+    run_outcome outcome = co_await this->run(run);
+    outcome.answer.state = m_session.state();
+    note(run, outcome);
+    co_await reply(std::move(outcome.answer));
+    co_return true;
+}
+
+answer_code caller_service::permission() {
+    const auto grant = m_context.authorize(m_database, m_key);
+    if (m_session.state() == transaction_state::none) {
+        if (grant.code == answer_code::ok) {
+            m_route = *grant.route;
+            m_account = grant.account;
+        }
+        return grant.code;
+    }
+    // A changed route applies from the next transaction on; a withdrawn key at once.
+    return grant.code == answer_code::denied ? grant.code : answer_code::ok;
+}
+
+asio::awaitable<run_outcome> caller_service::run(statement_run run) {
+    run_outcome outcome;
+    outcome.answer.code = run.decision.code;
+    run.route = &m_route;
+    if (run.decision.starts_operation && !m_context.admit(m_account)) {
+        m_session.transaction_ended();
+        outcome.answer.code = answer_code::busy;
+        outcome.form = "rate";
+        co_return outcome;
+    }
+    if (m_aborted && m_session.state() == transaction_state::open &&
+        run.decision.step != session_step::abandon) {
+        m_aborted = false;
+        m_session.transaction_failed();
+        outcome.answer.code = answer_code::aborted;
+        if (run.decision.step == session_step::finish) {
+            m_session.transaction_ended();
+        }
+        co_return outcome;
+    }
+    m_aborted = false;
+    if (run.decision.step == session_step::answer) {
+        co_return outcome;
+    }
+    if (run.decision.step == session_step::abandon) {
+        end_transaction();
+        co_return outcome;
+    }
+    if (m_session.state() == transaction_state::open) {
+        co_return co_await run_in_transaction(std::move(run));
+    }
+    const bool writes = run.decision.writes;
+    auto& service = m_context.service(m_route.service);
+    outcome = co_await m_runner.run_alone(service, std::move(run));
+    if (writes && outcome.answer.code == answer_code::ok && outcome.answer.position) {
+        m_session.committed(*outcome.answer.position);
+    }
+    co_return outcome;
+}
+
+asio::awaitable<run_outcome> caller_service::run_in_transaction(statement_run run) {
+    auto& service = m_context.service(m_route.service);
+    const bool commits = run.decision.step == session_step::finish;
+    const bool writes = run.decision.writes || (m_transaction != nullptr && m_transaction->wrote);
+    run_outcome outcome;
+    if (m_transaction == nullptr) {
+        outcome = co_await m_runner.run_first(service, std::move(run), m_session.reads_only(),
+                                              m_transaction);
+    } else {
+        outcome = co_await m_runner.run_next(service, std::move(run), *m_transaction);
+        if (outcome.transaction_over) {
+            m_transaction.reset();
+        }
+    }
+    const bool succeeded = outcome.answer.code == answer_code::ok;
+    if (commits) {
+        m_session.transaction_ended();
+        if (succeeded && writes && outcome.answer.position) {
+            m_session.committed(*outcome.answer.position);
+        }
+    } else if (!succeeded) {
+        m_session.transaction_failed();
+    }
+    co_return outcome;
+}
+
+asio::awaitable<void> caller_service::reply(sessions::server_answer answer) {
+    co_await m_channel->answer(std::move(answer));
+}
+
+void caller_service::end_transaction() {
+    statement_runner::roll_back(std::move(m_transaction));
+    m_transaction = nullptr;
+}
+
+void caller_service::note(const statement_run& run, const run_outcome& outcome) {
+    const bool local = run.decision.step == session_step::answer;
+    if (local && outcome.answer.code == answer_code::ok) {
+        return; // Nothing was decided that could fail a request.
+    }
+    const auto now = steady_clock().now();
+    const auto took = now - run.arrived;
+    m_context.statement_latency().add(took);
+    m_context.metrics()
+        .get("oriole_statements_total{outcome=\"" + std::string(to_string(outcome.answer.code)) +
+             "\"}")
+        .add();
+    log_entry line("statement");
+    line.add("request", run.statement.id)
+        .add("database", m_database)
+        .add("account", m_account.str())
+        .add("service", m_route.service.str())
+        .add("writes", run.decision.writes ? 1 : 0)
+        .add("config_version", m_context.view()->config->version)
+        .add("form", outcome.form)
+        .add("attempts", outcome.attempts)
+        .add("outcome", to_string(outcome.answer.code))
+        .add("us", std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+    if (!outcome.server.empty()) {
+        line.add("server", outcome.server.str());
+    }
+    if (outcome.required) {
+        line.add("required", text_of(*outcome.required));
+    }
+    if (outcome.answer.position) {
+        line.add("position", text_of(*outcome.answer.position));
+    }
+    m_context.log().write(line);
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/caller_service.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <utility>
+
+#include "entry/caller_channel.h"
+#include "entry/internal/statement_runner.h"
+#include "entry/internal/traffic_context.h"
+#include "sessions/caller_session.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace oriole::entry {
+
+/// One caller's session, from its first message to its end. Not thread-safe; used on the traffic
+/// thread.
+class caller_service : public std::enable_shared_from_this<caller_service> {
+public:
+    caller_service(traffic_context& context, std::shared_ptr<caller_channel> channel)
+        : m_context(context), m_channel(std::move(channel)) {}
+
+    /// Serves the caller until it leaves or the session is closed.
+    [[nodiscard]] boost::asio::awaitable<void> serve();
+
+    /// Whether no statement is running, no transaction is open and no input waits: closing the
+    /// session now costs the caller nothing but a new connection.
+    [[nodiscard]] bool idle() const;
+
+    /// Ends the session at once.
+    void close();
+
+    /// From now on an open transaction is ended, and its next statement refused.
+    void abort_transaction();
+
+private:
+    [[nodiscard]] boost::asio::awaitable<bool> open();
+    [[nodiscard]] boost::asio::awaitable<void> serve_statements();
+    [[nodiscard]] boost::asio::awaitable<bool> handle(sessions::statement statement);
+    [[nodiscard]] boost::asio::awaitable<run_outcome> run(statement_run run);
+    [[nodiscard]] boost::asio::awaitable<run_outcome> run_in_transaction(statement_run run);
+    [[nodiscard]] boost::asio::awaitable<std::optional<sessions::statement>> next_statement();
+    [[nodiscard]] boost::asio::awaitable<void> reply(sessions::server_answer answer);
+    [[nodiscard]] sessions::answer_code permission();
+    void end_transaction();
+    void note(const statement_run& run, const run_outcome& outcome);
+
+    traffic_context& m_context;
+    std::shared_ptr<caller_channel> m_channel;
+    std::string m_database;
+    std::string m_key;
+    account_name m_account;
+    fleet::route m_route; ///< of the open transaction, or of the last operation
+    sessions::caller_session m_session;
+    std::unique_ptr<open_transaction> m_transaction;
+    statement_runner m_runner;
+    bool m_running = false;
+    bool m_aborted = false; ///< the open transaction was ended by this instance
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/control_thread.cpp
@@ -0,0 +1,256 @@
+#include <utility>
+
+#include "entry/internal/control_thread.h"
+
+#include "base/random_source.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+constexpr clock::duration flush_interval = 200ms;
+/// An entry that stays the same for three intervals is a dead instance's. Each call is priced.
+constexpr clock::duration registration_interval = 5s;
+constexpr clock::duration registration_retry = 500ms;
+/// The store's silence below this is a slow answer, not an outage after which entries return.
+constexpr clock::duration outage_after = 700ms;
+/// The entry is removed after the last session, within the grace.
+constexpr clock::duration deregistration_limit = 200ms;
+
+fleet::listed_instance make_own(const entry_settings& settings) {
+    fleet::listed_instance own;
+    own.id = settings.instance;
+    own.zone = settings.zone;
+    own.peer_address = settings.peers;
+    own.incarnation = make_random_source()->next() >> 1U;
+    return own;
+}
+
+} // namespace
+
+control_thread::control_thread(const entry_settings& settings, entry_platform& platform,
+                               decision_log& log, metric_registry& metrics)
+    : m_settings(settings),
+      m_log(log),
+      m_metrics(metrics),
+      m_signals(m_io, SIGTERM, SIGINT),
+      m_own(make_own(settings)),
+      m_knowledge(m_own, log),
+      m_store(platform.make_store(m_io.get_executor())),
+      m_authority(platform.make_authority(m_io.get_executor())),
+      m_traffic(settings, platform, log, metrics,
+                [this](traffic_report report) {
+                    asio::post(m_io, [this, moved = std::move(report)] { on_traffic(moved); });
+                }),
+      m_changer(m_io.get_executor(), m_knowledge, *m_store, *m_authority, platform.connector(),
+                log, metrics, [this] { publish(); }),
+      m_peers(m_io.get_executor(), m_knowledge, settings.peers, log, [this] { publish(); }),
+      m_admin(links::make_http_admin_server(m_io.get_executor(), settings.admin, *this)) {}
+
+void control_thread::run() {
+    m_log.write(log_entry("start")
+                    .add("instance", m_own.id.str())
+                    .add("zone", m_own.zone.str())
+                    .add("incarnation", m_own.incarnation)
+                    .add("version", ORIOLE_VERSION));
+    m_admin->start();
+    m_traffic.start();
+    start_followers();
+    asio::co_spawn(m_io, keep_registered(), asio::detached);
+    asio::co_spawn(m_io, m_peers.run(), asio::detached);
+    asio::co_spawn(m_io, flush_log(), asio::detached);
+    asio::co_spawn(m_io, wait_for_signals(), asio::detached);
+    m_io.run();
+    m_log.write(log_entry("stop").add("instance", m_own.id.str()));
+    m_log.flush();
+}
+
+std::string control_thread::metrics() const {
+    m_metrics.get("oriole_log_lines_dropped_total")
+        .set(static_cast<std::int64_t>(m_log.dropped()));
+    return m_metrics.exposition();
+}
+
+template <class Value>
+void control_thread::follow(store_kind<Value>& kind, const std::string& name,
+                            typename store_follower<Value>::page_handler on_page) {
+    auto follower = std::make_shared<store_follower<Value>>(
+        m_io.get_executor(), kind, name, m_log, std::move(on_page),
+        [this](bool reachable) { on_store_health(reachable); });
+    asio::co_spawn(
+        m_io, [follower] { return follower->run(); },
+        [follower](const std::exception_ptr& failure) {
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+        });
+}
+
+void control_thread::start_followers() {
+    follow<fleet::configuration>(
+        m_store->configurations(), "configuration",
+        [this](const store_page<fleet::configuration>& page, bool) {
+            for (const auto& object : page.objects) {
+                if (!object.value) {
+                    m_log.write(log_entry("configuration")
+                                    .add("revision", object.revision)
+                                    .add("outcome", "unreadable"));
+                    continue;
+                }
+                m_knowledge.take_configuration(
+                    std::make_shared<const fleet::configuration>(*object.value), object.revision,
+                    "store");
+            }
+            publish();
+        });
+    follow<fleet::listed_server>(m_store->servers(), "servers",
+                                 [this](const store_page<fleet::listed_server>& page, bool whole) {
+                                     m_knowledge.take_servers(page, whole, steady_clock().now());
+                                     publish();
+                                 });
+    follow<evacuation>(m_store->evacuations(), "evacuations",
+                       [this](const store_page<evacuation>& page, bool whole) {
+                           m_knowledge.take_evacuations(page, whole, steady_clock().now());
+                           publish();
+                       });
+}
+
+asio::awaitable<void> control_thread::keep_registered() {
+    while (!m_leaving) {
+        const bool registered = co_await register_once();
+        const bool listed = registered && co_await list_instances();
+        co_await pause(listed ? registration_interval : registration_retry);
+    }
+}
+
+asio::awaitable<bool> control_thread::register_once() {
+    ++m_own.beats;
+    try {
+        co_await m_store->register_instance(m_own);
+        co_return true;
+    } catch (const store_unavailable& failure) {
+        m_log.write(log_entry("registration").add("outcome", "failed").add("reason",
+                                                                           failure.what()));
+        co_return false;
+    }
+}
+
+asio::awaitable<bool> control_thread::list_instances() {
+    try {
+        const auto page = co_await m_store->instances().list();
+        m_knowledge.take_instances(page, steady_clock().now());
+        publish();
+        co_return true;
+    } catch (const store_unavailable& failure) {
+        m_log.write(log_entry("instances").add("outcome", "not_listed").add("reason",
+                                                                            failure.what()));
+        co_return false;
+    }
+}
+
+asio::awaitable<void> control_thread::flush_log() {
+    while (true) {
+        co_await pause(flush_interval);
+        m_log.flush();
+        if (m_knowledge.take_unlisted()) {
+            co_await list_instances();
+        }
+    }
+}
+
+asio::awaitable<void> control_thread::wait_for_signals() {
+    const int signal = co_await m_signals.async_wait(asio::use_awaitable);
+    m_log.write(log_entry("stop_requested").add("signal", signal));
+    m_leaving = true;
+    publish();
+    m_traffic.leave([this] {
+        asio::post(m_io, [this] { asio::co_spawn(m_io, leave(), asio::detached); });
+    });
+}
+
+asio::awaitable<void> control_thread::leave() {
+    asio::co_spawn(
+        m_io,
+        [this]() -> asio::awaitable<void> {
+            try {
+                co_await m_store->remove_instance(m_own.id);
+            } catch (const store_unavailable& failure) {
+                m_log.write(log_entry("registration")
+                                .add("outcome", "not_removed")
+                                .add("reason", failure.what()));
+            }
+            m_io.stop();
+        },
+        asio::detached);
+    co_await pause(deregistration_limit);
+    m_io.stop();
+}
+
+asio::awaitable<void> control_thread::pause(clock::duration time) {
+    asio::steady_timer timer(m_io, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void control_thread::on_store_health(bool reachable) {
+    const auto now = steady_clock().now();
+    if (!reachable) {
+        if (!m_store_lost) {
+            m_store_lost = now;
+        }
+        return;
+    }
+    if (m_store_lost && now - *m_store_lost > outage_after) {
+        m_knowledge.store_regained(now);
+    }
+    m_store_lost.reset();
+}
+
+void control_thread::on_traffic(const traffic_report& report) {
+    const auto now = steady_clock().now();
+    m_knowledge.take_traffic(report, now);
+    const bool fails = m_knowledge.primary_fails();
+    if (fails && !m_primary_failed) {
+        m_peers.ask_all();
+    }
+    m_primary_failed = fails;
+    m_changer.start_due(now);
+    publish();
+}
+
+void control_thread::publish() {
+    const auto now = steady_clock().now();
+    static_cast<void>(m_knowledge.advance(now));
+    for (const auto& [service, proof] : m_knowledge.take_proofs()) {
+        m_traffic.learn(service, proof);
+    }
+    auto view = m_knowledge.make_view(now);
+    const bool was_ready = m_ready;
+    m_ready = view.ready && !m_leaving;
+    if (m_ready != was_ready) {
+        m_log.write(log_entry("readiness").add("outcome", m_ready ? "ready" : "not_ready"));
+    }
+    if (view == m_published) {
+        return;
+    }
+    m_published = view;
+    m_traffic.apply(std::make_shared<const fleet::fleet_view>(std::move(view)));
+}
+
+std::unique_ptr<entry_instance> make_entry_instance(const entry_settings& settings,
+                                                    entry_platform& platform, decision_log& log,
+                                                    metric_registry& metrics) {
+    return std::make_unique<control_thread>(settings, platform, log, metrics);
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/control_thread.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <utility>
+
+#include "entry/entry_instance.h"
+#include "entry/internal/fleet_knowledge.h"
+#include "entry/internal/peer_exchange.h"
+#include "entry/internal/primary_changer.h"
+#include "entry/internal/store_follower.h"
+#include "entry/internal/traffic_thread.h"
+#include "links/admin_server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace oriole::entry {
+
+/// The thread that keeps the control state: it follows the store, exchanges reports with other
+/// instances, changes primaries, and publishes views to the traffic thread. Runs on the thread that
+/// calls run().
+class control_thread final : public entry_instance, private links::admin_handler {
+public:
+    control_thread(const entry_settings& settings, entry_platform& platform, decision_log& log,
+                   metric_registry& metrics);
+
+    void run() override;
+
+private:
+    [[nodiscard]] bool ready() const override { return m_ready; }
+
+    [[nodiscard]] std::string metrics() const override;
+
+    [[nodiscard]] std::string status() const override { return "{}"; }
+
+    template <class Value>
+    void follow(store_kind<Value>& kind, const std::string& name,
+                typename store_follower<Value>::page_handler on_page);
+    void start_followers();
+    [[nodiscard]] boost::asio::awaitable<void> keep_registered();
+    [[nodiscard]] boost::asio::awaitable<bool> register_once();
+    [[nodiscard]] boost::asio::awaitable<bool> list_instances();
+    [[nodiscard]] boost::asio::awaitable<void> flush_log();
+    [[nodiscard]] boost::asio::awaitable<void> wait_for_signals();
+    [[nodiscard]] boost::asio::awaitable<void> leave();
+    [[nodiscard]] boost::asio::awaitable<void> pause(clock::duration time);
+    void on_store_health(bool reachable);
+    void on_traffic(const traffic_report& report);
+    void publish();
+
+    entry_settings m_settings;
+    decision_log& m_log;
+    metric_registry& m_metrics;
+    boost::asio::io_context m_io;
+    boost::asio::signal_set m_signals;
+    fleet::listed_instance m_own;
+    fleet_knowledge m_knowledge;
+    std::unique_ptr<fleet_store> m_store;
+    std::unique_ptr<promotion_authority> m_authority;
+    traffic_thread m_traffic;
+    primary_changer m_changer;
+    peer_exchange m_peers;
+    std::shared_ptr<links::admin_server> m_admin;
+    fleet::fleet_view m_published;
+    std::optional<clock::time_point> m_store_lost;
+    bool m_ready = false;
+    bool m_leaving = false;
+    bool m_primary_failed = false;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -0,0 +1,406 @@
+#include <utility>
+
+#include "entry/internal/fleet_knowledge.h"
+
+#include "contracts/contracts_module.h"
+#include "fleet/connection_division.h"
+
+#include <algorithm>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A primary that drains or is evacuated is used until another one leads, at most this long: the
+/// shortest bound is 5 s, and the view takes a moment to reach the traffic thread.
+constexpr clock::duration leaving_primary_use = 3500ms;
+/// Other instances' evidence is this long of use.
+constexpr clock::duration evidence_life = 1500ms;
+/// An instance whose entry has not changed for so long, while this one's has, is dead.
+constexpr clock::duration silent_instance = 16s;
+
+/// In the messages that carry it, the age of a missing time.
+clock::duration age(clock::time_point then, clock::time_point now) {
+    return std::max(now - then, clock::duration::zero());
+}
+
+} // namespace
+
+fleet_knowledge::fleet_knowledge(fleet::listed_instance own, decision_log& log)
+    : m_own(std::move(own)),
+      m_log(log),
+      m_directory(fleet::make_server_directory()),
+      m_division(fleet::make_share_division(m_own)),
+      m_demand(contracts::contracts_module::make_demand_meter()) {}
+
+void fleet_knowledge::take_configuration(std::shared_ptr<const fleet::configuration> config,
+                                         std::uint64_t revision, std::string_view source) {
+    if (revision <= m_known.configuration || config == nullptr) {
+        return;
+    }
+    m_log.write(log_entry("configuration")
+                    .add("version", config->version)
+                    .add("revision", revision)
+                    .add("source", source)
+                    .add("outcome", "in_force"));
+    m_config = std::move(config);
+    m_known.configuration = revision;
+}
+
+void fleet_knowledge::take_servers(const store_page<fleet::listed_server>& page, bool whole,
+                                   clock::time_point now) {
+    if (page.revision < m_known.servers) {
+        return;
+    }
+    std::vector<fleet::listed_server> listed;
+    for (const auto& object : page.objects) {
+        if (object.removed) {
+            m_directory->remove(server_name(object.name), object.revision, now);
+        } else if (!object.value) {
+            m_log.write(log_entry("server_entry").add("server", object.name).add("outcome",
+                                                                                 "unreadable"));
+        } else if (whole) {
+            listed.push_back(*object.value);
+        } else {
+            m_directory->update(*object.value, object.revision, now);
+        }
+    }
+    if (whole) {
+        m_directory->replace(std::move(listed), page.revision, now);
+    }
+    m_known.servers = page.revision;
+    update_watches();
+}
+
+void fleet_knowledge::take_evacuations(const store_page<evacuation>& page, bool whole,
+                                       clock::time_point now) {
+    if (page.revision < m_known.evacuations) {
+        return;
+    }
+    std::set<zone_name> named;
+    for (const auto& object : page.objects) {
+        const zone_name zone(object.name);
+        if (object.removed) {
+            m_evacuated.erase(zone);
+        } else {
+            m_evacuated.try_emplace(zone, now);
+            named.insert(zone);
+        }
+        m_log.write(log_entry("evacuation")
+                        .add("zone", object.name)
+                        .add("revision", object.revision)
+                        .add("outcome", object.removed ? "ended" : "in_force"));
+    }
+    if (whole) {
+        std::erase_if(m_evacuated, [&named](const auto& item) {
+            return !named.contains(item.first);
+        });
+    }
+    m_known.evacuations = page.revision;
+}
+
+void fleet_knowledge::take_instances(const store_page<fleet::listed_instance>& page,
+                                     clock::time_point now) {
+    std::map<instance_id, seen_instance> next;
+    for (const auto& object : page.objects) {
+        if (!object.value) {
+            continue;
+        }
+        const auto& listed = *object.value;
+        const auto known = m_instances.find(listed.id);
+        const bool grown = known == m_instances.end() ||
+                           known->second.listed.incarnation != listed.incarnation ||
+                           known->second.listed.beats != listed.beats;
+        next[listed.id] = {listed, grown ? now : known->second.beat_at};
+    }
+    const auto own = next.find(m_own.id);
+    if (own != next.end() && own->second.listed.incarnation == m_own.incarnation) {
+        m_own_beat_at = own->second.beat_at;
+    }
+    m_instances = std::move(next);
+    update_peers();
+}
+
+void fleet_knowledge::take_traffic(const traffic_report& report, clock::time_point now) {
+    for (const auto& [service, seen] : report.services) {
+        m_traffic[service] = seen;
+        if (!seen.proved.empty()) {
+            primary_of(service).proved(seen.proved, seen.proof.position);
+        }
+    }
+    for (const auto& [account, operations] : report.operations) {
+        m_demand->add(account, operations);
+    }
+    m_demand->advance(now);
+    std::map<account_name, double> demand;
+    if (m_config != nullptr) {
+        for (const auto& account : m_config->accounts) {
+            demand[account.name] = m_demand->needed(account.name);
+        }
+    }
+    m_division->set_demand(demand);
+}
+
+bool fleet_knowledge::take_report(const peer_report& report,
+                                  std::optional<clock::time_point> asked, clock::time_point now) {
+    const bool taken = m_division->take(report.demand);
+    m_unlisted = m_unlisted || !taken;
+    take_configuration(report.configuration, report.known.configuration, "peer");
+    if (report.servers && report.known.servers > m_known.servers) {
+        store_page<fleet::listed_server> page;
+        page.revision = report.known.servers;
+        for (const auto& server : *report.servers) {
+            page.objects.push_back({server.id.str(), server.revision, false, server});
+        }
+        take_servers(page, true, now);
+    }
+    if (report.evacuated && report.known.evacuations > m_known.evacuations) {
+        store_page<evacuation> page;
+        page.revision = report.known.evacuations;
+        for (const auto& zone : *report.evacuated) {
+            page.objects.push_back({zone.str(), page.revision, false, evacuation{zone}});
+        }
+        take_evacuations(page, true, now);
+    }
+    for (const auto& [service, seen] : report.services) {
+        take_evidence(report.demand.from, service, seen, now);
+        if (seen.position) {
+            primary_of(service).proved(seen.proved, *seen.position);
+            if (asked) {
+                m_learnt[service] = {*asked - seen.proof_age, *seen.position};
+            }
+        }
+    }
+    return taken;
+}
+
+peer_report fleet_knowledge::report_for(const instance_id& peer,
+                                        const known_revisions* peer_knows,
+                                        clock::time_point now) {
+    peer_report report;
+    report.demand = m_division->report_for(peer);
+    report.known = m_known;
+    const auto boot_now = boot_clock().now();
+    for (const auto& [service, seen] : m_traffic) {
+        peer_service_report& out = report.services[service];
+        out.primary = seen.evidence.server;
+        if (seen.evidence.answered) {
+            out.answered = age(*seen.evidence.answered, now);
+        }
+        if (seen.evidence.failing_since) {
+            out.failing = age(*seen.evidence.failing_since, now);
+        }
+        if (!seen.proved.empty()) {
+            out.proved = seen.proved;
+            out.position = seen.proof.position;
+            out.proof_age = age(seen.proof.asked, boot_now);
+        }
+    }
+    if (peer_knows == nullptr) {
+        return report;
+    }
+    if (peer_knows->configuration < m_known.configuration) {
+        report.configuration = m_config;
+    }
+    if (peer_knows->servers < m_known.servers) {
+        report.servers = m_directory->servers();
+    }
+    if (peer_knows->evacuations < m_known.evacuations) {
+        report.evacuated.emplace();
+        for (const auto& [zone, since] : m_evacuated) {
+            report.evacuated->push_back(zone);
+        }
+    }
+    return report;
+}
+
+std::vector<std::pair<service_name, fleet::primary_change>>
+fleet_knowledge::due_changes(clock::time_point now) {
+    std::vector<std::pair<service_name, fleet::primary_change>> due;
+    if (m_config == nullptr) {
+        return due;
+    }
+    for (const auto& [service, limits] : m_config->services) {
+        if (auto change = primary_of(service).due_change(situation(service, now), now)) {
+            due.emplace_back(service, std::move(*change));
+        }
+    }
+    return due;
+}
+
+bool fleet_knowledge::advance(clock::time_point now) {
+    const bool expired = m_directory->expire(now);
+    if (expired) {
+        update_watches();
+    }
+    for (const auto& server : m_servers) {
+        if (server.draining || m_evacuated.contains(server.zone)) {
+            m_leaving_since.try_emplace(server.id, now);
+        } else {
+            m_leaving_since.erase(server.id);
+        }
+    }
+    return expired;
+}
+
+fleet::primary_watch& fleet_knowledge::primary_of(const service_name& service) {
+    auto& watch = m_watches[service];
+    if (watch == nullptr) {
+        watch = fleet::make_primary_watch(m_own);
+    }
+    return *watch;
+}
+
+std::optional<fleet::listed_server> fleet_knowledge::find(const server_name& id) const {
+    const auto found =
+        std::find_if(m_servers.begin(), m_servers.end(),
+                     [&id](const fleet::listed_server& server) { return server.id == id; });
+    if (found == m_servers.end()) {
+        return std::nullopt;
+    }
+    return *found;
+}
+
+account_name fleet_knowledge::any_account() const {
+    if (m_config == nullptr || m_config->accounts.empty()) {
+        return {};
+    }
+    return m_config->accounts.front().name;
+}
+
+bool fleet_knowledge::primary_fails() const {
+    return std::any_of(m_traffic.begin(), m_traffic.end(), [](const auto& item) {
+        return item.second.evidence.failing_since.has_value();
+    });
+}
+
+fleet::fleet_view fleet_knowledge::make_view(clock::time_point now) const {
+    fleet::fleet_view view;
+    view.config = m_config;
+    if (m_config == nullptr) {
+        return view;
+    }
+    for (const auto& account : m_config->accounts) {
+        for (const auto& key : account.keys) {
+            view.accounts_by_key[key] = account.name;
+        }
+        view.shares[account.name] = m_division->share_of(account);
+    }
+    for (const auto& server : m_servers) {
+        if (auto entry = usable(server, now)) {
+            view.servers[server.service].push_back(std::move(*entry));
+        }
+    }
+    view.ready = !view.servers.empty();
+    return view;
+}
+
+void fleet_knowledge::update_watches() {
+    m_servers = m_directory->servers();
+    std::map<service_name, std::vector<fleet::listed_server>> by_service;
+    for (const auto& server : m_servers) {
+        by_service[server.service].push_back(server);
+    }
+    for (const auto& [service, servers] : by_service) {
+        auto& watch = primary_of(service);
+        const auto before = watch.primary();
+        watch.listed(servers, m_known.servers);
+        if (watch.primary() != before) {
+            m_log.write(log_entry("primary")
+                            .add("service", service.str())
+                            .add("server", watch.primary().str())
+                            .add("before", before.str())
+                            .add("revision", m_known.servers)
+                            .add("source", "list"));
+        }
+    }
+}
+
+void fleet_knowledge::update_peers() {
+    std::vector<fleet::listed_instance> live;
+    for (const auto& [id, seen] : m_instances) {
+        const bool silent = m_own_beat_at && *m_own_beat_at - seen.beat_at > silent_instance;
+        if (id != m_own.id && !silent) {
+            live.push_back(seen.listed);
+        }
+    }
+    m_peers = std::move(live);
+    m_division->set_peers(m_peers);
+}
+
+void fleet_knowledge::take_evidence(const instance_id& from, const service_name& service,
+                                    const peer_service_report& report, clock::time_point now) {
+    peer_evidence& known = m_peer_evidence[service][from];
+    known.heard = now;
+    known.evidence = {};
+    known.evidence.server = report.primary;
+    if (report.answered && *report.answered < evidence_life) {
+        known.evidence.answered = now - *report.answered;
+    }
+    if (report.failing) {
+        known.evidence.failing_since = now - *report.failing;
+    }
+}
+
+fleet::primary_situation fleet_knowledge::situation(const service_name& service,
+                                                    clock::time_point now) const {
+    fleet::primary_situation result;
+    result.service = service;
+    for (const auto& server : m_servers) {
+        if (server.service == service) {
+            result.servers.push_back(server);
+        }
+    }
+    for (const auto& [zone, since] : m_evacuated) {
+        result.evacuated_zones.insert(zone);
+    }
+    const auto own = m_traffic.find(service);
+    if (own != m_traffic.end()) {
+        result.own = own->second.evidence;
+    }
+    const auto peers = m_peer_evidence.find(service);
+    if (peers != m_peer_evidence.end()) {
+        for (const auto& [id, known] : peers->second) {
+            if (now - known.heard < evidence_life) {
+                result.peers[id] = known.evidence;
+            }
+        }
+    }
+    result.instances = instances();
+    const auto holder = m_holders.find(service);
+    if (holder != m_holders.end()) {
+        result.last_holder = holder->second;
+    }
+    return result;
+}
+
+std::vector<fleet::listed_instance> fleet_knowledge::instances() const {
+    auto all = m_peers;
+    all.push_back(m_own);
+    return all;
+}
+
+std::optional<fleet::usable_server> fleet_knowledge::usable(const fleet::listed_server& server,
+                                                            clock::time_point now) const {
+    const auto limits = m_config->services.find(server.service);
+    if (limits == m_config->services.end()) {
+        return std::nullopt;
+    }
+    const auto watch = m_watches.find(server.service);
+    fleet::usable_server entry;
+    entry.listed = server;
+    entry.primary = watch != m_watches.end() && watch->second->primary() == server.id;
+    const bool leaving = server.draining || m_evacuated.contains(server.zone);
+    if (leaving) {
+        const auto since = m_leaving_since.find(server.id);
+        const bool fresh =
+            since == m_leaving_since.end() || now - since->second < leaving_primary_use;
+        entry.evacuated = !(entry.primary && fresh);
+    }
+    entry.connections = fleet::connections_for(m_own, instances(), server, entry.primary,
+                                               limits->second.max_connections);
+    return entry;
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/fleet_knowledge.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <utility>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "contracts/demand_meter.h"
+#include "entry/types/peer_report.h"
+#include "entry/types/traffic_report.h"
+#include "fleet/primary_watch.h"
+#include "fleet/server_directory.h"
+#include "fleet/share_division.h"
+#include "fleet/types/fleet_view.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace oriole::entry {
+
+/// What the control thread knows, from the store, from other instances and from its own traffic,
+/// and the view that follows from it. Knows no socket. Not thread-safe.
+class fleet_knowledge {
+public:
+    fleet_knowledge(fleet::listed_instance own, decision_log& log);
+
+    /// A configuration of the store's revision. Older ones than the known one are ignored.
+    void take_configuration(std::shared_ptr<const fleet::configuration> config,
+                            std::uint64_t revision, std::string_view source);
+
+    void take_servers(const store_page<fleet::listed_server>& page, bool whole,
+                      clock::time_point now);
+
+    void take_evacuations(const store_page<evacuation>& page, bool whole, clock::time_point now);
+
+    void take_instances(const store_page<fleet::listed_instance>& page, clock::time_point now);
+
+    /// The store answered after an outage.
+    void store_regained(clock::time_point now) { m_directory->store_regained(now); }
+
+    void take_traffic(const traffic_report& report, clock::time_point now);
+
+    /// Takes over what another instance tells. `asked` is the boot clock's time before it was
+    /// asked; without it the report was unasked and its proofs prove nothing.
+    /// Returns whether its demand report may be confirmed.
+    [[nodiscard]] bool take_report(const peer_report& report, std::optional<clock::time_point> asked,
+                     clock::time_point now);
+
+    /// What to tell another instance, with the objects that are newer than what it knows.
+    [[nodiscard]] peer_report report_for(const instance_id& peer, const known_revisions* peer_knows,
+                                         clock::time_point now);
+
+    /// The peer has taken over the demand report of that number.
+    void confirm(const instance_id& peer, std::uint64_t number) {
+        m_division->confirm(peer, number);
+    }
+
+    /// Changes of primary that are due at this instance, by service.
+    [[nodiscard]] std::vector<std::pair<service_name, fleet::primary_change>>
+    due_changes(clock::time_point now);
+
+    /// Ages what depends on time. True when the view has changed.
+    [[nodiscard]] bool advance(clock::time_point now);
+
+    [[nodiscard]] fleet::primary_watch& primary_of(const service_name& service);
+
+    void set_last_holder(const service_name& service, const instance_id& holder) {
+        m_holders[service] = holder;
+    }
+
+    [[nodiscard]] std::optional<fleet::listed_server> find(const server_name& id) const;
+
+    /// The other instances that live, as far as is known.
+    [[nodiscard]] const std::vector<fleet::listed_instance>& peers() const noexcept {
+        return m_peers;
+    }
+
+    [[nodiscard]] const instance_id& own() const noexcept { return m_own.id; }
+
+    [[nodiscard]] account_name any_account() const;
+
+    /// Whether a primary fails here, so that the others should be asked at once.
+    [[nodiscard]] bool primary_fails() const;
+
+    [[nodiscard]] fleet::fleet_view make_view(clock::time_point now) const;
+
+    /// Whether an instance has reported that is not listed yet, so that the list is out of date.
+    [[nodiscard]] bool take_unlisted() { return std::exchange(m_unlisted, false); }
+
+    /// Proofs that were learnt from other instances since the last call.
+    [[nodiscard]] std::map<service_name, sessions::position_proof> take_proofs() {
+        return std::exchange(m_learnt, {});
+    }
+
+private:
+    struct seen_instance {
+        fleet::listed_instance listed;
+        clock::time_point beat_at; ///< when its number of beats last grew
+    };
+
+    struct peer_evidence {
+        fleet::primary_evidence evidence;
+        clock::time_point heard;
+    };
+
+    void update_watches();
+    void update_peers();
+    void take_evidence(const instance_id& from, const service_name& service,
+                       const peer_service_report& report, clock::time_point now);
+    [[nodiscard]] fleet::primary_situation situation(const service_name& service,
+                                                     clock::time_point now) const;
+    [[nodiscard]] std::vector<fleet::listed_instance> instances() const;
+    [[nodiscard]] std::optional<fleet::usable_server>
+    usable(const fleet::listed_server& server, clock::time_point now) const;
+
+    fleet::listed_instance m_own;
+    decision_log& m_log;
+    std::shared_ptr<const fleet::configuration> m_config;
+    known_revisions m_known;
+    std::unique_ptr<fleet::server_directory> m_directory;
+    std::vector<fleet::listed_server> m_servers;
+    std::map<server_name, clock::time_point> m_leaving_since;
+    std::map<zone_name, clock::time_point> m_evacuated; ///< since when
+    std::map<instance_id, seen_instance> m_instances;
+    std::optional<clock::time_point> m_own_beat_at;
+    std::vector<fleet::listed_instance> m_peers;
+    std::unique_ptr<fleet::share_division> m_division;
+    std::unique_ptr<contracts::demand_meter> m_demand;
+    std::map<service_name, std::unique_ptr<fleet::primary_watch>> m_watches;
+    std::map<service_name, instance_id> m_holders;
+    std::map<service_name, service_report> m_traffic;
+    std::map<service_name, std::map<instance_id, peer_evidence>> m_peer_evidence;
+    std::map<service_name, sessions::position_proof> m_learnt;
+    bool m_unlisted = false;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/peer_exchange.cpp
@@ -0,0 +1,112 @@
+#include <utility>
+
+#include "entry/internal/peer_exchange.h"
+
+#include "entry/peer_report_codec.h"
+#include "links/backend_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+constexpr const char* method = "report";
+/// Every instance is asked once in this time: short against the bound on a new configuration,
+/// which an instance that the store turns away learns this way.
+constexpr clock::duration round = 1s;
+constexpr clock::duration call_limit = 500ms;
+/// The instances of one deployment know each other by the addresses in the store; this keeps out
+/// what else may connect by mistake.
+const links::peer_secret fleet_secret{"oriolethread-fleet"};
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::any_io_executor executor, fleet_knowledge& knowledge,
+                             const endpoint& listen, decision_log& log,
+                             std::function<void()> on_news)
+    : m_executor(std::move(executor)),
+      m_knowledge(knowledge),
+      m_log(log),
+      m_on_news(std::move(on_news)),
+      m_link(links::make_peer_link(m_executor, fleet_secret)),
+      m_server(links::make_peer_server(m_executor, listen, fleet_secret)) {
+    m_server->add_method(method, [this](std::string text) { return answer(std::move(text)); });
+}
+
+asio::awaitable<void> peer_exchange::run() {
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        const auto peers = m_knowledge.peers();
+        const auto gap = round / static_cast<int>(peers.size() + 1);
+        for (const auto& peer : peers) {
+            asio::co_spawn(m_executor, ask(peer), asio::detached);
+            timer.expires_after(gap);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        timer.expires_after(gap);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void peer_exchange::ask_all() {
+    for (const auto& peer : m_knowledge.peers()) {
+        asio::co_spawn(m_executor, ask(peer), asio::detached);
+    }
+}
+
+asio::awaitable<void> peer_exchange::ask(fleet::listed_instance peer) {
+    if (!m_asking.insert(peer.id).second) {
+        co_return;
+    }
+    try {
+        const auto started = steady_clock().now();
+        const auto asked = boot_clock().now();
+        const auto question = m_knowledge.report_for(peer.id, nullptr, started);
+        const auto text = co_await m_link->call(peer.peer_address, method, encode_report(question),
+                                                started + call_limit);
+        const auto report = decode_report(text);
+        if (report.confirmed == question.demand.number) {
+            m_knowledge.confirm(peer.id, report.confirmed);
+        }
+        static_cast<void>(m_knowledge.take_report(report, asked, steady_clock().now()));
+        set_reachable(peer.id, true, "answered");
+        m_on_news();
+    } catch (const error& failure) {
+        set_reachable(peer.id, false, failure.what());
+    }
+    m_asking.erase(peer.id);
+}
+
+asio::awaitable<std::string> peer_exchange::answer(std::string text) {
+    const auto now = steady_clock().now();
+    const auto question = decode_report(text);
+    const bool taken = m_knowledge.take_report(question, std::nullopt, now);
+    auto report = m_knowledge.report_for(question.demand.from, &question.known, now);
+    report.confirmed = taken ? question.demand.number : 0;
+    m_on_news();
+    co_return encode_report(report);
+}
+
+void peer_exchange::set_reachable(const instance_id& peer, bool reachable,
+                                  const std::string& reason) {
+    const auto known = m_reachable.find(peer);
+    if (known != m_reachable.end() && known->second == reachable) {
+        return;
+    }
+    m_reachable[peer] = reachable;
+    m_log.write(log_entry("peer")
+                    .add("instance", peer.str())
+                    .add("outcome", reachable ? "reached" : "lost")
+                    .add("reason", reason));
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/peer_exchange.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <utility>
+
+#include "base/decision_log.h"
+#include "entry/internal/fleet_knowledge.h"
+#include "links/peer_link.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace oriole::entry {
+
+/// Exchanges reports with the other instances, so that each acts on the newest configuration, list
+/// and evidence that any of them has. Not thread-safe; runs on the control thread.
+class peer_exchange {
+public:
+    /// `on_news` is called after a report was taken over.
+    peer_exchange(boost::asio::any_io_executor executor, fleet_knowledge& knowledge,
+                  const endpoint& listen, decision_log& log, std::function<void()> on_news);
+
+    /// Asks the instances in turn until the executor ends.
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+    /// Asks all instances now.
+    void ask_all();
+
+    void stop() { m_server->stop(); }
+
+private:
+    [[nodiscard]] boost::asio::awaitable<void> ask(fleet::listed_instance peer);
+    [[nodiscard]] boost::asio::awaitable<std::string> answer(std::string text);
+    void set_reachable(const instance_id& peer, bool reachable, const std::string& reason);
+
+    boost::asio::any_io_executor m_executor;
+    fleet_knowledge& m_knowledge;
+    decision_log& m_log;
+    std::function<void()> m_on_news;
+    std::unique_ptr<links::peer_link> m_link;
+    std::unique_ptr<links::peer_server> m_server;
+    std::set<instance_id> m_asking;
+    std::map<instance_id, bool> m_reachable;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/server_pool.cpp
@@ -0,0 +1,296 @@
+#include <utility>
+
+#include "entry/internal/server_pool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using sessions::answer_code;
+
+/// A new connection takes a slot of the server, so this covers its queue too.
+constexpr clock::duration open_limit = 600ms;
+/// Silence of a server with answers due, after which other servers are preferred.
+constexpr clock::duration suspect_after = 250ms;
+/// Silence that counts as evidence at all; shorter waits are ordinary work.
+constexpr clock::duration notice_after = 150ms;
+/// For answers that nobody waits for any more.
+constexpr clock::duration drain_limit = 2s;
+
+} // namespace
+
+struct server_pool::pool_waiter {
+    pool_waiter(const asio::any_io_executor& executor, account_name for_account)
+        : account(std::move(for_account)), timer(executor) {}
+
+    account_name account;
+    asio::steady_timer timer;
+    std::unique_ptr<pooled_connection> connection;
+    bool may_open = false;
+    bool refused = false;
+};
+
+server_pool::server_pool(asio::any_io_executor executor, server_connector& connector,
+                         fleet::listed_server server)
+    : m_executor(std::move(executor)), m_connector(connector), m_server(std::move(server)) {}
+
+void server_pool::set_limit(int connections) {
+    m_limit = std::max(connections, 1);
+    while (m_open > m_limit && !m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        forget(*connection);
+    }
+    serve_waiters();
+}
+
+asio::awaitable<pool_grant> server_pool::acquire(account_name account,
+                                                 const sessions::session_values& values,
+                                                 clock::time_point give_up) {
+    const auto self = shared_from_this();
+    if (auto connection = take_idle(account, values)) {
+        pool_grant grant;
+        grant.connection = std::move(connection);
+        co_return grant;
+    }
+    if (make_place()) {
+        ++m_open;
+        co_return co_await open(std::move(account));
+    }
+    co_return co_await wait(std::move(account), give_up);
+}
+
+void server_pool::release(std::unique_ptr<pooled_connection> connection) {
+    if (m_open > m_limit) {
+        discard(std::move(connection));
+        return;
+    }
+    if (m_waiters.empty()) {
+        m_idle.push_front(std::move(connection));
+        return;
+    }
+    const auto same =
+        std::find_if(m_waiters.begin(), m_waiters.end(), [&connection](const auto& waiter) {
+            return waiter->account == connection->account;
+        });
+    // A waiter for the same account further back saves a new connection, which costs a slot.
+    if (same != m_waiters.end()) {
+        const auto waiter = *same;
+        m_waiters.erase(same);
+        waiter->connection = std::move(connection);
+        waiter->timer.cancel();
+        return;
+    }
+    discard(std::move(connection));
+}
+
+void server_pool::discard(std::unique_ptr<pooled_connection> connection) {
+    forget(*connection);
+    serve_waiters();
+}
+
+void server_pool::release_after_answers(std::unique_ptr<pooled_connection> connection,
+                                        int answers) {
+    auto drain = [](std::shared_ptr<server_pool> self, std::unique_ptr<pooled_connection> held,
+                    int due) -> asio::awaitable<void> {
+        try {
+            sessions::server_answer last;
+            for (int i = 0; i < due; ++i) {
+                last = co_await held->channel->receive(drain_limit);
+            }
+            self->mark_answered(*held, steady_clock().now());
+            if (last.state == sessions::transaction_state::none) {
+                self->release(std::move(held));
+                co_return;
+            }
+        } catch (const server_unreachable&) {
+            self->mark_failed(steady_clock().now());
+        }
+        self->discard(std::move(held));
+    };
+    asio::co_spawn(m_executor, drain(shared_from_this(), std::move(connection), answers),
+                   asio::detached);
+}
+
+void server_pool::mark_waiting(pooled_connection& connection, clock::time_point now) {
+    if (!connection.waiting) {
+        connection.waiting_since = m_waiting_since.insert(now);
+        connection.waiting = true;
+    }
+}
+
+void server_pool::mark_answered(pooled_connection& connection, clock::time_point now) {
+    if (connection.waiting) {
+        m_waiting_since.erase(connection.waiting_since);
+        connection.waiting = false;
+    }
+    m_answered = now;
+    m_failed.reset();
+}
+
+void server_pool::mark_failed(clock::time_point now) {
+    if (!m_failed) {
+        m_failed = now;
+    }
+}
+
+fleet::primary_evidence server_pool::evidence(clock::time_point now) const {
+    fleet::primary_evidence evidence;
+    evidence.server = m_server.id;
+    evidence.answered = m_answered;
+    evidence.failing_since = m_failed;
+    if (!m_waiting_since.empty()) {
+        const auto since = std::max(*m_waiting_since.begin(),
+                                    m_answered.value_or(*m_waiting_since.begin()));
+        if (now - since > notice_after &&
+            (!evidence.failing_since || since < *evidence.failing_since)) {
+            evidence.failing_since = since;
+        }
+    }
+    return evidence;
+}
+
+bool server_pool::suspected(clock::time_point now) const {
+    const auto seen = evidence(now);
+    return m_failed || (seen.failing_since && now - *seen.failing_since > suspect_after);
+}
+
+bool server_pool::available(const account_name& account) const {
+    if (m_open < m_limit) {
+        return true;
+    }
+    return std::any_of(m_idle.begin(), m_idle.end(), [&account](const auto& connection) {
+               return connection->account == account;
+           }) ||
+           !m_idle.empty();
+}
+
+void server_pool::close() {
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        forget(*connection);
+    }
+    m_limit = 0;
+    for (const auto& waiter : m_waiters) {
+        waiter->refused = true;
+        waiter->timer.cancel();
+    }
+    m_waiters.clear();
+}
+
+std::unique_ptr<pooled_connection>
+server_pool::take_idle(const account_name& account, const sessions::session_values& values) {
+    while (true) {
+        auto best = m_idle.end();
+        int best_distance = 0;
+        for (auto at = m_idle.begin(); at != m_idle.end(); ++at) {
+            if ((*at)->account != account) {
+                continue;
+            }
+            const int distance = (*at)->alignment.distance(values);
+            if (best == m_idle.end() || distance < best_distance) {
+                best = at;
+                best_distance = distance;
+            }
+        }
+        if (best == m_idle.end()) {
+            return nullptr;
+        }
+        auto connection = std::move(*best);
+        m_idle.erase(best);
+        if (!connection->channel->broken()) {
+            return connection;
+        }
+        forget(*connection);
+    }
+}
+
+bool server_pool::make_place() {
+    if (m_open < m_limit) {
+        return true;
+    }
+    if (m_idle.empty()) {
+        return false;
+    }
+    auto connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    forget(*connection);
+    return m_open < m_limit;
+}
+
+asio::awaitable<pool_grant> server_pool::open(account_name account) {
+    pool_grant grant;
+    grant.opened = true;
+    auto connection = std::make_unique<pooled_connection>();
+    connection->channel = m_connector.make_channel(m_executor);
+    connection->account = account;
+    mark_waiting(*connection, steady_clock().now());
+    try {
+        server_introduction who{m_server.address, m_server.service, account, m_server.id};
+        const auto answer = co_await connection->channel->open(std::move(who), open_limit);
+        mark_answered(*connection, steady_clock().now());
+        if (answer.code == answer_code::ok) {
+            grant.connection = std::move(connection);
+            co_return grant;
+        }
+        grant.refusal = answer.code;
+        if (answer.code == answer_code::wrong_server) {
+            mark_failed(steady_clock().now());
+        }
+    } catch (const server_unreachable&) {
+        mark_failed(steady_clock().now());
+        grant.refusal = answer_code::aborted;
+    }
+    discard(std::move(connection));
+    co_return grant;
+}
+
+asio::awaitable<pool_grant> server_pool::wait(account_name account, clock::time_point give_up) {
+    const auto own = std::make_shared<pool_waiter>(m_executor, account);
+    m_waiters.push_back(own);
+    own->timer.expires_at(give_up);
+    boost::system::error_code ignored;
+    co_await own->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    std::erase(m_waiters, own);
+    if (own->connection) {
+        pool_grant grant;
+        grant.connection = std::move(own->connection);
+        co_return grant;
+    }
+    if (own->may_open) {
+        co_return co_await open(std::move(account));
+    }
+    pool_grant grant;
+    grant.refusal = answer_code::busy;
+    co_return grant;
+}
+
+void server_pool::forget(pooled_connection& connection) {
+    if (connection.waiting) {
+        m_waiting_since.erase(connection.waiting_since);
+        connection.waiting = false;
+    }
+    connection.channel->close();
+    --m_open;
+}
+
+void server_pool::serve_waiters() {
+    while (!m_waiters.empty() && m_open < m_limit) {
+        const auto next = m_waiters.front();
+        m_waiters.pop_front();
+        ++m_open;
+        next->may_open = true;
+        next->timer.cancel();
+    }
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/traffic_thread.cpp
@@ -0,0 +1,135 @@
+#include <utility>
+
+#include "entry/internal/traffic_thread.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/// A lost primary is noticed within this time; a message for each statement would cost more.
+constexpr clock::duration report_interval = 100ms;
+/// The balancer asks once a second and takes an instance out after two refusals.
+constexpr clock::duration balancer_delay = 2200ms;
+/// Idle sessions are closed in groups, so that the others are not flooded with new connections.
+constexpr clock::duration close_interval = 50ms;
+constexpr int close_groups = 16;
+/// Left of the grace when the remaining sessions are closed whatever they do.
+constexpr clock::duration last_part = 400ms;
+
+} // namespace
+
+traffic_thread::traffic_thread(const entry_settings& settings, entry_platform& platform,
+                               decision_log& log, metric_registry& metrics,
+                               report_handler on_report)
+    : m_settings(settings),
+      m_work(m_io.get_executor()),
+      m_context(m_io.get_executor(), platform.connector(), settings.zone, log, metrics),
+      m_listener(platform.make_listener(m_io.get_executor(), settings.callers)),
+      m_on_report(std::move(on_report)),
+      m_open_sessions(metrics.get("oriole_open_sessions")) {}
+
+traffic_thread::~traffic_thread() {
+    m_io.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void traffic_thread::start() {
+    m_listener->start([this](std::shared_ptr<caller_channel> channel) { serve(channel); });
+    asio::co_spawn(m_io, report_regularly(), asio::detached);
+    m_thread = std::thread([this] { m_io.run(); });
+}
+
+void traffic_thread::apply(std::shared_ptr<const fleet::fleet_view> view) {
+    asio::post(m_io, [this, moved = std::move(view)]() mutable {
+        m_context.apply(std::move(moved));
+    });
+}
+
+void traffic_thread::learn(service_name service, sessions::position_proof proof) {
+    asio::post(m_io, [this, name = std::move(service), proof] { m_context.learn(name, proof); });
+}
+
+void traffic_thread::leave(std::function<void()> on_end) {
+    asio::post(m_io, [this, done = std::move(on_end)]() mutable {
+        asio::co_spawn(m_io, close_sessions(std::move(done)), asio::detached);
+    });
+}
+
+void traffic_thread::serve(std::shared_ptr<caller_channel> channel) {
+    auto session = std::make_shared<caller_service>(m_context, std::move(channel));
+    const auto place = m_sessions.insert(m_sessions.end(), session);
+    m_open_sessions.add();
+    asio::co_spawn(
+        m_io, [session] { return session->serve(); },
+        [this, place](const std::exception_ptr& failure) {
+            m_sessions.erase(place);
+            m_open_sessions.add(-1);
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+        });
+}
+
+asio::awaitable<void> traffic_thread::report_regularly() {
+    while (true) {
+        co_await pause(report_interval);
+        m_on_report(m_context.take_report());
+    }
+}
+
+asio::awaitable<void> traffic_thread::close_sessions(std::function<void()> on_end) {
+    const auto started = steady_clock().now();
+    co_await pause(balancer_delay);
+    const std::size_t group = open_sessions().size() / close_groups + 1;
+    while (true) {
+        const auto spent = steady_clock().now() - started;
+        auto sessions = open_sessions();
+        if (sessions.empty() || spent > m_settings.stop_grace - last_part) {
+            break;
+        }
+        std::size_t closed = 0;
+        for (const auto& session : sessions) {
+            if (spent > m_settings.stop_grace / 2) {
+                session->abort_transaction();
+            }
+            if (closed < group && session->idle()) {
+                session->close();
+                ++closed;
+            }
+        }
+        co_await pause(close_interval);
+    }
+    m_listener->stop();
+    on_end();
+}
+
+asio::awaitable<void> traffic_thread::pause(clock::duration time) {
+    asio::steady_timer timer(m_io, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+std::vector<std::shared_ptr<caller_service>> traffic_thread::open_sessions() {
+    std::vector<std::shared_ptr<caller_service>> sessions;
+    for (const auto& known : m_sessions) {
+        if (auto session = known.lock()) {
+            sessions.push_back(std::move(session));
+        }
+    }
+    return sessions;
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/traffic_thread.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <utility>
+
+#include "entry/entry_instance.h"
+#include "entry/internal/caller_service.h"
+#include "entry/internal/traffic_context.h"
+#include "entry/types/entry_settings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <thread>
+
+namespace oriole::entry {
+
+/// The thread that serves callers. Its members may be called from any thread; they post to it.
+class traffic_thread {
+public:
+    using report_handler = std::function<void(traffic_report)>;
+
+    /// `on_report` runs on the traffic thread.
+    traffic_thread(const entry_settings& settings, entry_platform& platform, decision_log& log,
+                   metric_registry& metrics, report_handler on_report);
+    ~traffic_thread();
+
+    traffic_thread(const traffic_thread&) = delete;
+    traffic_thread& operator=(const traffic_thread&) = delete;
+
+    /// Throws boost::system::system_error when the callers' address cannot be bound.
+    void start();
+
+    void apply(std::shared_ptr<const fleet::fleet_view> view);
+
+    void learn(service_name service, sessions::position_proof proof);
+
+    /// Ends the sessions without cutting off a request, then calls `on_end` on the traffic thread.
+    void leave(std::function<void()> on_end);
+
+private:
+    using session_list = std::list<std::weak_ptr<caller_service>>;
+
+    void serve(std::shared_ptr<caller_channel> channel);
+    [[nodiscard]] boost::asio::awaitable<void> report_regularly();
+    [[nodiscard]] boost::asio::awaitable<void> close_sessions(std::function<void()> on_end);
+    [[nodiscard]] boost::asio::awaitable<void> pause(clock::duration time);
+    [[nodiscard]] std::vector<std::shared_ptr<caller_service>> open_sessions();
+
+    entry_settings m_settings;
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    traffic_context m_context;
+    std::unique_ptr<caller_listener> m_listener;
+    report_handler m_on_report;
+    session_list m_sessions;
+    metric& m_open_sessions;
+    std::thread m_thread;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/peer_report_codec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/errors.h"
+#include "entry/types/peer_report.h"
+
+#include <string>
+
+namespace oriole::entry {
+
+/// The text is not a report.
+class report_unreadable : public error {
+public:
+    using error::error;
+};
+
+/// The report as JSON. Thread-safe.
+[[nodiscard]] std::string encode_report(const peer_report& report);
+
+/// Throws report_unreadable. Thread-safe.
+[[nodiscard]] peer_report decode_report(const std::string& text);
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/types/entry_settings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/endpoint.h"
+#include "base/types/name.h"
+
+#include <optional>
+
+namespace oriole::entry {
+
+/// Settings of one entry instance that decide how it acts. Addresses of the platform belong to its
+/// adapter.
+struct entry_settings {
+    instance_id instance;
+    zone_name zone;
+    endpoint callers;        ///< where callers connect
+    endpoint admin;          ///< readiness and metrics
+    endpoint peers;          ///< where other instances connect
+    clock::duration stop_grace = std::chrono::seconds(6); ///< from SIGTERM to the forced end
+
+    friend bool operator==(const entry_settings&, const entry_settings&) = default;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/types/peer_report.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/name.h"
+#include "entry/fleet_store.h"
+#include "fleet/types/demand_report.h"
+#include "machines/types/log_position.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace oriole::entry {
+
+/// What an instance tells another one of a service. Ages count back from the message.
+struct peer_service_report {
+    server_name primary;
+    std::optional<clock::duration> answered;      ///< age of the primary's last answer
+    std::optional<clock::duration> failing;       ///< how long it has failed
+    server_name proved;                           ///< server of the newest proof
+    std::optional<machines::log_position> position; ///< of the newest proof
+    clock::duration proof_age{};                  ///< never less than the true age
+
+    friend bool operator==(const peer_service_report&, const peer_service_report&) = default;
+};
+
+/// The store's revisions that an instance's knowledge stands for.
+struct known_revisions {
+    std::uint64_t configuration = 0;
+    std::uint64_t servers = 0;
+    std::uint64_t evacuations = 0;
+
+    friend bool operator==(const known_revisions&, const known_revisions&) = default;
+};
+
+/// What instances exchange. The answer to it has the same form, with the objects that the asking
+/// instance does not know yet.
+struct peer_report {
+    fleet::demand_report demand;
+    std::uint64_t confirmed = 0; ///< number of the demand report that this answers, if it was taken
+    known_revisions known;
+    std::map<service_name, peer_service_report> services;
+    std::shared_ptr<const fleet::configuration> configuration;
+    std::optional<std::vector<fleet::listed_server>> servers;
+    std::optional<std::vector<zone_name>> evacuated;
+
+    friend bool operator==(const peer_report&, const peer_report&) = default;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/fleet/internal/confirmed_share_division.cpp
@@ -0,0 +1,144 @@
+#include "fleet/share_division.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace oriole::fleet {
+namespace {
+
+/// Part of a rate that is divided evenly: what an instance may spend before the others know it.
+constexpr double even_part = 0.15;
+/// Smallest burst in operations: less than one would never let an operation pass.
+constexpr double smallest_burst = 1.5;
+
+using weights = std::map<account_name, double>;
+
+double weight_in(const weights& values, const account_name& name) {
+    const auto found = values.find(name);
+    return found == values.end() ? 0 : found->second;
+}
+
+class confirmed_share_division final : public share_division {
+public:
+    explicit confirmed_share_division(listed_instance own) : m_own(std::move(own)) {}
+
+    void set_peers(const std::vector<listed_instance>& peers) override {
+        std::map<instance_id, peer_state> next;
+        for (const auto& peer : peers) {
+            const auto known = m_peers.find(peer.id);
+            if (known != m_peers.end() && known->second.incarnation == peer.incarnation) {
+                next[peer.id] = known->second;
+            } else {
+                next[peer.id].incarnation = peer.incarnation;
+            }
+        }
+        m_peers = std::move(next);
+    }
+
+    void set_demand(const weights& demand) override { m_demand = demand; }
+
+    demand_report report_for(const instance_id& peer) override {
+        const auto found = m_peers.find(peer);
+        ++m_number;
+        if (found != m_peers.end()) {
+            found->second.unconfirmed.emplace_back(m_number, m_demand);
+            if (found->second.unconfirmed.size() > max_unconfirmed) {
+                merge_oldest(found->second);
+            }
+        }
+        return demand_report{m_own.id, m_own.incarnation, m_number, m_demand};
+    }
+
+    void confirm(const instance_id& peer, std::uint64_t number) override {
+        const auto found = m_peers.find(peer);
+        if (found == m_peers.end()) {
+            return;
+        }
+        auto& unconfirmed = found->second.unconfirmed;
+        while (!unconfirmed.empty() && unconfirmed.front().first <= number) {
+            found->second.confirmed = std::move(unconfirmed.front().second);
+            unconfirmed.erase(unconfirmed.begin());
+        }
+    }
+
+    bool take(const demand_report& report) override {
+        const auto found = m_peers.find(report.from);
+        if (found == m_peers.end() || found->second.incarnation != report.incarnation) {
+            return false;
+        }
+        if (found->second.number < report.number) {
+            found->second.number = report.number;
+            found->second.reported = report.demand;
+        }
+        return true;
+    }
+
+    account_share share_of(const account& limits) const override {
+        const double instances = static_cast<double>(m_peers.size()) + 1;
+        const double fraction =
+            even_part / instances + (1 - even_part) * demanded_part(limits.name);
+        return account_share{fraction * limits.operations_per_s,
+                             std::max(fraction * limits.burst, smallest_burst)};
+    }
+
+private:
+    static constexpr std::size_t max_unconfirmed = 8;
+
+    struct peer_state {
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;          ///< of the last report taken from the peer
+        std::optional<weights> reported;   ///< by the peer
+        std::optional<weights> confirmed;  ///< what the peer holds of this instance at least
+        std::vector<std::pair<std::uint64_t, weights>> unconfirmed;
+    };
+
+    /// Keeps the smaller of the two oldest reports, since either may be what the peer holds.
+    static void merge_oldest(peer_state& peer) {
+        auto& oldest = peer.unconfirmed[0].second;
+        auto& next = peer.unconfirmed[1].second;
+        for (auto& [name, weight] : next) {
+            weight = std::min(weight, weight_in(oldest, name));
+        }
+        peer.unconfirmed.erase(peer.unconfirmed.begin());
+    }
+
+    /// The smallest weight of this instance that any peer may count with.
+    [[nodiscard]] double safe_weight(const account_name& name) const {
+        double weight = weight_in(m_demand, name);
+        for (const auto& [id, peer] : m_peers) {
+            if (peer.confirmed) {
+                weight = std::min(weight, weight_in(*peer.confirmed, name));
+            }
+            for (const auto& [number, sent] : peer.unconfirmed) {
+                weight = std::min(weight, weight_in(sent, name));
+            }
+        }
+        return weight;
+    }
+
+    [[nodiscard]] double demanded_part(const account_name& name) const {
+        const double own = safe_weight(name);
+        double total = own;
+        for (const auto& [id, peer] : m_peers) {
+            if (!peer.reported) {
+                return 0; // An instance that has not reported may count with any weight.
+            }
+            total += weight_in(*peer.reported, name);
+        }
+        return total > 0 ? own / total : 0;
+    }
+
+    listed_instance m_own;
+    std::map<instance_id, peer_state> m_peers;
+    weights m_demand;
+    std::uint64_t m_number = 0;
+};
+
+} // namespace
+
+std::unique_ptr<share_division> make_share_division(const listed_instance& own) {
+    return std::make_unique<confirmed_share_division>(own);
+}
+
+} // namespace oriole::fleet
--- /dev/null
+++ b/src/fleet/types/fleet_view.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "fleet/types/account_share.h"
+#include "fleet/types/configuration.h"
+#include "fleet/types/listed_server.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace oriole::fleet {
+
+/// A server that may be used.
+struct usable_server {
+    listed_server listed;
+    bool primary = false;        ///< believed to lead the service
+    bool evacuated = false;      ///< nothing more may be sent to it: it drains, or its zone is out
+    int connections = 0;         ///< that this instance may hold
+
+    friend bool operator==(const usable_server&, const usable_server&) = default;
+};
+
+/// What the control thread believes, as the traffic thread acts on it. Immutable once published.
+struct fleet_view {
+    std::shared_ptr<const configuration> config;
+    std::unordered_map<std::string, account_name> accounts_by_key;
+    std::map<service_name, std::vector<usable_server>> servers;
+    std::map<account_name, account_share> shares;
+    bool ready = false; ///< a configuration and the servers are known
+
+    friend bool operator==(const fleet_view&, const fleet_view&) = default;
+};
+
+} // namespace oriole::fleet
--- a/src/machines/internal/ranked_replica_selector.cpp
+++ b/src/machines/internal/ranked_replica_selector.cpp
@@ -1,6 +1,6 @@
 #include "machines/internal/ranked_replica_selector.h"
 
-#include "machines/internal/rendezvous.h"
+#include "machines/rendezvous.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/machines/internal/rendezvous.cpp
+++ b/src/machines/internal/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "machines/internal/rendezvous.h"
+#include "machines/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/machines/internal/rendezvous_watch_assignment.cpp
+++ b/src/machines/internal/rendezvous_watch_assignment.cpp
@@ -1,6 +1,6 @@
 #include "machines/internal/rendezvous_watch_assignment.h"
 
-#include "machines/internal/rendezvous.h"
+#include "machines/rendezvous.h"
 
 #include <algorithm>
 #include <map>
--- a/src/machines/internal/round_robin_allotment.cpp
+++ b/src/machines/internal/round_robin_allotment.cpp
@@ -1,6 +1,6 @@
 #include "machines/internal/round_robin_allotment.h"
 
-#include "machines/internal/rendezvous.h"
+#include "machines/rendezvous.h"
 
 #include <algorithm>
 #include <tuple>
--- /dev/null
+++ b/src/sessions/internal/caller_session.cpp
@@ -0,0 +1,117 @@
+#include "sessions/caller_session.h"
+
+#include <algorithm>
+
+namespace oriole::sessions {
+namespace {
+
+session_decision answered(answer_code code) {
+    session_decision decision;
+    decision.code = code;
+    return decision;
+}
+
+} // namespace
+
+session_decision caller_session::decide(const statement& next) {
+    if (m_state == transaction_state::failed) {
+        return decide_in_failed(next);
+    }
+    session_decision decision;
+    switch (next.kind) {
+    case statement_kind::begin:
+    case statement_kind::begin_read:
+        return decide_begin(next);
+    case statement_kind::commit:
+        if (m_state == transaction_state::none) {
+            return reject(answer_code::malformed);
+        }
+        decision.step = session_step::finish;
+        return decision;
+    case statement_kind::rollback:
+        if (m_state == transaction_state::none) {
+            return reject(answer_code::malformed);
+        }
+        m_state = transaction_state::none;
+        decision.step = session_step::abandon;
+        return decision;
+    case statement_kind::read:
+    case statement_kind::write:
+        decision.step = session_step::run;
+        decision.writes = next.kind == statement_kind::write;
+        decision.starts_operation = m_state == transaction_state::none;
+        return decision;
+    case statement_kind::set_value:
+        m_values[next.name] = next.argument;
+        return decision;
+    case statement_kind::prepare:
+        m_prepared[next.name] = prepared_shape{next.shape, next.writes};
+        return decision;
+    case statement_kind::execute:
+        return decide_execute(next);
+    case statement_kind::close_prepared:
+        return decide_close(next);
+    case statement_kind::malformed:
+        return reject(answer_code::malformed);
+    }
+    return reject(answer_code::malformed);
+}
+
+void caller_session::committed(const machines::log_position& position) {
+    m_last_commit = m_last_commit ? std::max(*m_last_commit, position) : position;
+}
+
+session_decision caller_session::decide_in_failed(const statement& next) {
+    if (next.kind != statement_kind::commit && next.kind != statement_kind::rollback) {
+        return answered(answer_code::malformed);
+    }
+    m_state = transaction_state::none;
+    session_decision decision;
+    decision.step = session_step::abandon;
+    // A commit of a failed transaction keeps nothing, and the caller has to learn it.
+    decision.code =
+        next.kind == statement_kind::commit ? answer_code::aborted : answer_code::ok;
+    return decision;
+}
+
+session_decision caller_session::decide_begin(const statement& next) {
+    if (m_state != transaction_state::none) {
+        return reject(answer_code::malformed);
+    }
+    m_state = transaction_state::open;
+    m_reads_only = next.kind == statement_kind::begin_read;
+    session_decision decision;
+    decision.starts_operation = true;
+    return decision;
+}
+
+session_decision caller_session::decide_execute(const statement& next) {
+    const auto found = m_prepared.find(next.name);
+    if (found == m_prepared.end()) {
+        return reject(answer_code::unknown_name);
+    }
+    session_decision decision;
+    decision.step = session_step::run;
+    decision.shape = found->second;
+    decision.writes = found->second.writes;
+    decision.starts_operation = m_state == transaction_state::none;
+    return decision;
+}
+
+session_decision caller_session::decide_close(const statement& next) {
+    if (m_prepared.erase(next.name) == 0) {
+        return reject(answer_code::unknown_name);
+    }
+    return {};
+}
+
+session_decision caller_session::reject(answer_code code) {
+    session_decision decision = answered(code);
+    if (m_state == transaction_state::open) {
+        m_state = transaction_state::failed;
+        decision.step = session_step::abandon;
+    }
+    return decision;
+}
+
+} // namespace oriole::sessions
