--- a/src/fleet/internal/confirmed_share_division.cpp
+++ b/src/fleet/internal/confirmed_share_division.cpp
@@ -7,10 +7,14 @@
 namespace oriole::fleet {
 namespace {
 
-/// Part of a rate that is divided evenly: what an instance may spend before the others know it.
-constexpr double even_part = 0.15;
-/// Smallest burst in operations: less than one would never let an operation pass.
-constexpr double smallest_burst = 1.5;
+/// Every instance counts with this part of an even division besides its demand, so that an account
+/// that is new to it is not refused, and an idle fleet divides evenly.
+constexpr double even_part = 0.25;
+/// Operations that an instance may run at once beyond its part of the burst; less than one would
+/// never let an operation pass. All instances together have at most `spare_burst`, which the
+/// tolerance on rates covers.
+constexpr double largest_spare = 1.5;
+constexpr double spare_burst = 12;
 
 using weights = std::map<account_name, double>;
 
@@ -76,10 +80,11 @@
 
     account_share share_of(const account& limits) const override {
         const double instances = static_cast<double>(m_peers.size()) + 1;
-        const double fraction =
-            even_part / instances + (1 - even_part) * demanded_part(limits.name);
+        const double even = even_part * limits.operations_per_s / instances;
+        const double fraction = part_of(limits.name, even);
+        const double spare = std::min(largest_spare, spare_burst / instances);
         return account_share{fraction * limits.operations_per_s,
-                             std::max(fraction * limits.burst, smallest_burst)};
+                             std::max(fraction * limits.burst + spare, 1.0)};
     }
 
 private:
@@ -117,14 +122,16 @@
         return weight;
     }
 
-    [[nodiscard]] double demanded_part(const account_name& name) const {
-        const double own = safe_weight(name);
+    /// Precondition: `even` is the same at all instances that see the same instances.
+    [[nodiscard]] double part_of(const account_name& name, double even) const {
+        const double own = safe_weight(name) + even;
         double total = own;
         for (const auto& [id, peer] : m_peers) {
             if (!peer.reported) {
-                return 0; // An instance that has not reported may count with any weight.
+                // An instance that has not reported may count with any weight.
+                return even_part / (static_cast<double>(m_peers.size()) + 1);
             }
-            total += weight_in(*peer.reported, name);
+            total += weight_in(*peer.reported, name) + even;
         }
         return total > 0 ? own / total : 0;
     }
--- a/src/fleet/share_division.h
+++ b/src/fleet/share_division.h
@@ -12,8 +12,7 @@
 
 namespace oriole::fleet {
 
-/// Divides the accounts' rates over the instances. A small part of a rate is divided evenly; the rest
-/// follows the demand that the instances report to one another. An instance raises its own weight
+/// Divides the accounts' rates over the instances by the demand that they report to one another. An instance raises its own weight
 /// only after every other instance has confirmed the higher report, so the parts never add up to
 /// more than the rate, whatever messages are lost or late. Not thread-safe; owned by the control
 /// thread.
