Divide rates evenly while an instance has confirmed nothing

Cause: an instance that died and was replaced never reports, and the others then kept only a quarter of their part of every rate for 16 s. Change: an instance without confirmation counts as without demand; a changed list of instances is followed by an exchange at once.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -148,7 +148,9 @@
 asio::awaitable<bool> control_thread::list_instances() {
     try {
         const auto page = co_await m_store->instances().list();
-        m_knowledge.take_instances(page, steady_clock().now());
+        if (m_knowledge.take_instances(page, steady_clock().now())) {
+            m_peers.ask_all();
+        }
         publish();
         co_return true;
     } catch (const store_unavailable& failure) {
--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -100,7 +100,7 @@
     m_known.evacuations = page.revision;
 }
 
-void fleet_knowledge::take_instances(const store_page<fleet::listed_instance>& page,
+bool fleet_knowledge::take_instances(const store_page<fleet::listed_instance>& page,
                                      clock::time_point now) {
     std::map<instance_id, seen_instance> next;
     for (const auto& object : page.objects) {
@@ -119,7 +119,7 @@
         m_own_beat_at = own->second.beat_at;
     }
     m_instances = std::move(next);
-    update_peers();
+    return update_peers();
 }
 
 void fleet_knowledge::take_traffic(const traffic_report& report, clock::time_point now) {
@@ -317,7 +317,7 @@
     }
 }
 
-void fleet_knowledge::update_peers() {
+bool fleet_knowledge::update_peers() {
     std::vector<fleet::listed_instance> live;
     for (const auto& [id, seen] : m_instances) {
         const bool silent = m_own_beat_at && *m_own_beat_at - seen.beat_at > silent_instance;
@@ -325,8 +325,14 @@
             live.push_back(seen.listed);
         }
     }
+    const bool same = std::equal(live.begin(), live.end(), m_peers.begin(), m_peers.end(),
+                                 [](const auto& left, const auto& right) {
+                                     return left.id == right.id &&
+                                            left.incarnation == right.incarnation;
+                                 });
     m_peers = std::move(live);
     m_division->set_peers(m_peers);
+    return !same;
 }
 
 void fleet_knowledge::take_evidence(const instance_id& from, const service_name& service,
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -35,7 +35,9 @@
 
     void take_evacuations(const store_page<evacuation>& page, bool whole, clock::time_point now);
 
-    void take_instances(const store_page<fleet::listed_instance>& page, clock::time_point now);
+    /// Returns whether another instance has come, gone or started anew.
+    [[nodiscard]] bool take_instances(const store_page<fleet::listed_instance>& page,
+                                      clock::time_point now);
 
     /// The store answered after an outage.
     void store_regained(clock::time_point now) { m_directory->store_regained(now); }
@@ -106,7 +108,7 @@
     };
 
     void update_watches();
-    void update_peers();
+    [[nodiscard]] bool update_peers();
     void take_evidence(const instance_id& from, const service_name& service,
                        const peer_service_report& report, clock::time_point now);
     [[nodiscard]] fleet::primary_situation situation(const service_name& service,
--- a/src/fleet/internal/confirmed_share_division.cpp
+++ b/src/fleet/internal/confirmed_share_division.cpp
@@ -112,9 +112,8 @@
     [[nodiscard]] double safe_weight(const account_name& name) const {
         double weight = weight_in(m_demand, name);
         for (const auto& [id, peer] : m_peers) {
-            if (peer.confirmed) {
-                weight = std::min(weight, weight_in(*peer.confirmed, name));
-            }
+            // To an instance that has confirmed nothing this one has no demand.
+            weight = std::min(weight, peer.confirmed ? weight_in(*peer.confirmed, name) : 0);
             for (const auto& [number, sent] : peer.unconfirmed) {
                 weight = std::min(weight, weight_in(sent, name));
             }
@@ -127,11 +126,10 @@
         const double own = safe_weight(name) + even;
         double total = own;
         for (const auto& [id, peer] : m_peers) {
-            if (!peer.reported) {
-                // An instance that has not reported may count with any weight.
-                return even_part / (static_cast<double>(m_peers.size()) + 1);
+            total += even;
+            if (peer.reported) {
+                total += weight_in(*peer.reported, name);
             }
-            total += weight_in(*peer.reported, name) + even;
         }
         return total > 0 ? own / total : 0;
     }
--- a/src/fleet/share_division.h
+++ b/src/fleet/share_division.h
@@ -12,10 +12,11 @@
 
 namespace oriole::fleet {
 
-/// Divides the accounts' rates over the instances by the demand that they report to one another. An instance raises its own weight
-/// only after every other instance has confirmed the higher report, so the parts never add up to
-/// more than the rate, whatever messages are lost or late. Not thread-safe; owned by the control
-/// thread.
+/// Divides the accounts' rates over the instances by the demand that they report to one another. An
+/// instance raises its own weight only after every other instance has confirmed the higher report,
+/// so the parts never add up to more than the rate, whatever messages are lost or late. While one
+/// has confirmed nothing, which a dead one never will, the rates are divided evenly. Not
+/// thread-safe; owned by the control thread.
 class share_division {
 public:
     virtual ~share_division() = default;
