Withdraw a demand that may not be used

Change: an instance that is blocked reports no demand; an entry of an instance that never was in touch counts as dead after 8 s.

--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -17,8 +17,11 @@
 constexpr clock::duration leaving_primary_use = 3500ms;
 /// Other instances' evidence is this long of use.
 constexpr clock::duration evidence_life = 1500ms;
-/// An instance whose entry has not changed for so long, while this one's has, is dead.
+/// An instance whose entry has not changed for so long, while this one's has, is dead. Three
+/// intervals: the store may turn single instances away for a while.
 constexpr clock::duration silent_instance = 16s;
+/// The same for one that has never been in touch with this instance: it left its entry behind.
+constexpr clock::duration silent_stranger = 8s;
 
 /// In the messages that carry it, the age of a missing time.
 clock::duration age(clock::time_point then, clock::time_point now) {
@@ -145,6 +148,7 @@
 bool fleet_knowledge::take_report(const peer_report& report,
                                   std::optional<clock::time_point> asked, clock::time_point now) {
     const bool taken = m_division->take(report.demand);
+    m_heard.insert(report.demand.from);
     m_unlisted = m_unlisted || !taken;
     take_configuration(report.configuration, report.known.configuration, "peer");
     if (report.servers && report.known.servers > m_known.servers) {
@@ -320,7 +324,8 @@
 bool fleet_knowledge::update_peers() {
     std::vector<fleet::listed_instance> live;
     for (const auto& [id, seen] : m_instances) {
-        const bool silent = m_own_beat_at && *m_own_beat_at - seen.beat_at > silent_instance;
+        const auto limit = m_heard.contains(id) ? silent_instance : silent_stranger;
+        const bool silent = m_own_beat_at && *m_own_beat_at - seen.beat_at > limit;
         if (id != m_own.id && !silent) {
             live.push_back(seen.listed);
         }
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -135,6 +135,7 @@
     std::map<service_name, service_report> m_traffic;
     std::map<service_name, std::map<instance_id, peer_evidence>> m_peer_evidence;
     std::map<service_name, sessions::position_proof> m_learnt;
+    std::set<instance_id> m_heard; ///< instances that have reported since this one started
     bool m_unlisted = false;
 };
 
--- a/src/fleet/internal/confirmed_share_division.cpp
+++ b/src/fleet/internal/confirmed_share_division.cpp
@@ -45,13 +45,15 @@
     demand_report report_for(const instance_id& peer) override {
         const auto found = m_peers.find(peer);
         ++m_number;
+        // A weight that may not be used would only lower the others' parts.
+        const weights reported = blocked() ? weights{} : m_demand;
         if (found != m_peers.end()) {
-            found->second.unconfirmed.emplace_back(m_number, m_demand);
+            found->second.unconfirmed.emplace_back(m_number, reported);
             if (found->second.unconfirmed.size() > max_unconfirmed) {
                 merge_oldest(found->second);
             }
         }
-        return demand_report{m_own.id, m_own.incarnation, m_number, m_demand};
+        return demand_report{m_own.id, m_own.incarnation, m_number, reported};
     }
 
     void confirm(const instance_id& peer, std::uint64_t number) override {
@@ -89,6 +91,8 @@
 
 private:
     static constexpr std::size_t max_unconfirmed = 8;
+    /// Reports without confirmation after which an instance counts as out of reach.
+    static constexpr std::size_t unanswered_reports = 2;
 
     struct peer_state {
         std::uint64_t incarnation = 0;
@@ -108,6 +112,13 @@
         peer.unconfirmed.erase(peer.unconfirmed.begin());
     }
 
+    /// Whether an instance has had time to confirm a report and has not.
+    [[nodiscard]] bool blocked() const {
+        return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
+            return !item.second.confirmed && item.second.unconfirmed.size() >= unanswered_reports;
+        });
+    }
+
     /// The smallest weight of this instance that any peer may count with.
     [[nodiscard]] double safe_weight(const account_name& name) const {
         double weight = weight_in(m_demand, name);
