--- /dev/null
+++ b/src/entry/tests/fake_servers.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <utility>
+
+#include "entry/internal/service_traffic.h"
+#include "entry/server_channel.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriole::entry {
+
+/// What a server of the test does, by the kind of order it gets.
+struct server_script {
+    bool primary = false;
+    machines::log_position position{1, 10};
+    bool refuses_connections = false;
+    std::optional<sessions::order_kind> breaks_at;   ///< the connection ends instead of an answer
+    std::optional<sessions::order_kind> silent_at;   ///< no answer comes
+    std::vector<sessions::server_order> received;
+    int connections = 0;
+    int opened = 0;
+};
+
+/// Servers by their name; they answer at once.
+class fake_servers final : public server_connector {
+public:
+    [[nodiscard]] server_script& at(const std::string& name) { return m_scripts[name]; }
+
+    [[nodiscard]] std::shared_ptr<server_channel>
+    make_channel(boost::asio::any_io_executor executor) override {
+        return std::make_shared<fake_channel>(*this, std::move(executor));
+    }
+
+private:
+    class fake_channel final : public server_channel {
+    public:
+        fake_channel(fake_servers& servers, boost::asio::any_io_executor executor)
+            : m_servers(servers), m_executor(std::move(executor)) {}
+
+        boost::asio::awaitable<sessions::server_answer> open(server_introduction who,
+                                                             clock::duration) override {
+            m_script = &m_servers.at(who.server.str());
+            if (m_script->refuses_connections) {
+                throw server_unreachable("refused");
+            }
+            ++m_script->connections;
+            ++m_script->opened;
+            m_open = true;
+            co_return sessions::server_answer{};
+        }
+
+        boost::asio::awaitable<void> send(std::vector<sessions::server_order> orders,
+                                          clock::duration) override {
+            for (auto& order : orders) {
+                m_script->received.push_back(order);
+                m_due.push_back(std::move(order));
+            }
+            co_return;
+        }
+
+        boost::asio::awaitable<sessions::server_answer> receive(clock::duration limit) override {
+            const auto order = m_due.front();
+            if (m_script->breaks_at == order.kind) {
+                throw server_unreachable("broken");
+            }
+            if (m_script->silent_at == order.kind) {
+                boost::asio::steady_timer timer(m_executor, limit);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+                throw server_silent("silent");
+            }
+            m_due.pop_front();
+            co_return answer_to(order);
+        }
+
+        bool broken() override { return !m_open; }
+
+        void close() noexcept override {
+            if (m_open) {
+                --m_script->connections;
+            }
+            m_open = false;
+        }
+
+    private:
+        sessions::server_answer answer_to(const sessions::server_order& order) {
+            using sessions::answer_code;
+            using sessions::order_kind;
+            using sessions::transaction_state;
+            sessions::server_answer answer;
+            answer.position = m_script->position;
+            const bool writes = order.text.starts_with("WRITE");
+            if (order.after && *order.after > m_script->position) {
+                answer.code = answer_code::lagging;
+            } else if ((order.kind == order_kind::begin || writes) && !m_script->primary) {
+                answer.code = answer_code::read_only;
+            } else if (order.kind == order_kind::begin || order.kind == order_kind::begin_read) {
+                m_state = transaction_state::open;
+            } else if (order.kind == order_kind::rollback || order.text == "COMMIT") {
+                m_state = transaction_state::none;
+            }
+            answer.signature = "signed";
+            answer.state = m_state;
+            return answer;
+        }
+
+        fake_servers& m_servers;
+        boost::asio::any_io_executor m_executor;
+        server_script* m_script = nullptr;
+        std::deque<sessions::server_order> m_due;
+        sessions::transaction_state m_state = sessions::transaction_state::none;
+        bool m_open = false;
+    };
+
+    std::map<std::string, server_script> m_scripts;
+};
+
+/// Runs the coroutine to its end and returns its value.
+template <class Value>
+Value run_coroutine(boost::asio::io_context& io, boost::asio::awaitable<Value> work) {
+    std::optional<Value> result;
+    std::exception_ptr thrown;
+    boost::asio::co_spawn(io, std::move(work), [&](std::exception_ptr failure, Value value) {
+        thrown = failure;
+        result = std::move(value);
+    });
+    io.restart();
+    io.run();
+    if (thrown) {
+        std::rethrow_exception(thrown);
+    }
+    return std::move(*result);
+}
+
+inline fleet::listed_server fake_listed(const std::string& name, const std::string& zone) {
+    fleet::listed_server server;
+    server.id = server_name(name);
+    server.service = service_name("db");
+    server.address = endpoint("127.0.0.1", 1);
+    server.zone = zone_name(zone);
+    return server;
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/tests/peer_report_codec_test.cpp
@@ -0,0 +1,69 @@
+#include "entry/peer_report_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+class peer_report_codec_test : public testing::Test {
+protected:
+    static peer_report make() {
+        peer_report report;
+        report.demand = {instance_id("i"), 7, 3, {{account_name("t"), 1.5}}};
+        report.confirmed = 2;
+        report.known = {4, 5, 6};
+        peer_service_report service;
+        service.primary = server_name("s");
+        service.answered = 1500us;
+        service.failing = 3ms;
+        service.proved = server_name("s");
+        service.position = machines::log_position(2, 9);
+        service.proof_age = 250us;
+        report.services[service_name("db")] = service;
+        fleet::listed_server server;
+        server.id = server_name("s");
+        server.address = endpoint("10.0.0.1", 80);
+        report.servers = {server};
+        report.evacuated = {zone_name("z")};
+        return report;
+    }
+};
+
+// Guards against fields that are lost between instances.
+TEST_F(peer_report_codec_test, report_survives_the_way) {
+    const auto report = make();
+    EXPECT_EQ(decode_report(encode_report(report)), report);
+}
+
+// Guards against a configuration that an instance takes over in part.
+TEST_F(peer_report_codec_test, configuration_survives_the_way) {
+    fleet::configuration config;
+    config.version = 3;
+    config.routes["books"] = {"books", service_name("db"), fleet::read_policy::own_writes, 1s,
+                              500ms, 2s, true};
+    config.services[service_name("db")] = {21, 1};
+    config.accounts.push_back({account_name("t"), {"k"}, 10, 5});
+    config.transaction_idle = 3s;
+    auto report = make();
+    report.configuration = std::make_shared<const fleet::configuration>(config);
+    EXPECT_EQ(*decode_report(encode_report(report)).configuration, config);
+}
+
+// Guards against an age that shrinks on the way, which would make a proof too new.
+TEST_F(peer_report_codec_test, ages_are_rounded_up) {
+    auto report = make();
+    report.services[service_name("db")].proof_age = 1001ns;
+    const auto decoded = decode_report(encode_report(report));
+    EXPECT_GE(decoded.services.at(service_name("db")).proof_age, 1001ns);
+}
+
+// Guards against a message that ends the control thread.
+TEST_F(peer_report_codec_test, other_text_is_unreadable) {
+    EXPECT_THROW(static_cast<void>(decode_report("{")), report_unreadable);
+    EXPECT_THROW(static_cast<void>(decode_report("{\"demand\":1}")), report_unreadable);
+}
+
+} // namespace
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/tests/statement_runner_test.cpp
@@ -0,0 +1,169 @@
+#include "fake_servers.h"
+
+#include "entry/internal/statement_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+using sessions::answer_code;
+using sessions::order_kind;
+
+class statement_runner_test : public testing::Test {
+protected:
+    statement_runner_test() {
+        m_route.service = service_name("db");
+        m_route.policy = fleet::read_policy::bounded_age;
+        m_route.max_age = 1500ms;
+        m_route.latency_target = 400ms;
+        m_route.statement_timeout = 300ms;
+        m_servers.at("primary").primary = true;
+        std::vector<fleet::usable_server> usable(2);
+        usable[0].listed = fake_listed("primary", "far");
+        usable[0].primary = true;
+        usable[0].connections = 2;
+        usable[1].listed = fake_listed("replica", "near");
+        usable[1].connections = 2;
+        m_service.apply(usable);
+    }
+
+    statement_run make(const std::string& text, bool writes = false) {
+        statement_run run;
+        run.route = &m_route;
+        run.account = account_name("t");
+        run.statement.id = "1";
+        run.statement.text = text;
+        run.statement.kind = text == "COMMIT" ? sessions::statement_kind::commit
+                             : writes         ? sessions::statement_kind::write
+                                              : sessions::statement_kind::read;
+        run.decision.step = sessions::session_step::run;
+        run.decision.writes = writes;
+        run.arrived = steady_clock().now();
+        return run;
+    }
+
+    run_outcome run_alone(const std::string& text, bool writes = false) {
+        return run_coroutine(m_io, m_runner.run_alone(m_service, make(text, writes)));
+    }
+
+    run_outcome run_first(const std::string& text, bool reads_only, bool writes = false) {
+        return run_coroutine(m_io, m_runner.run_first(m_service, make(text, writes), reads_only,
+                                                      m_transaction));
+    }
+
+    void prove(machines::log_position position) {
+        m_service.learn({boot_clock().now(), position});
+    }
+
+    bool received(const std::string& server, order_kind kind) {
+        const auto& orders = m_servers.at(server).received;
+        return std::any_of(orders.begin(), orders.end(),
+                           [kind](const auto& order) { return order.kind == kind; });
+    }
+
+    boost::asio::io_context m_io;
+    fake_servers m_servers;
+    fleet::route m_route;
+    service_traffic m_service{m_io.get_executor(), m_servers, zone_name("near")};
+    statement_runner m_runner;
+    std::unique_ptr<open_transaction> m_transaction;
+};
+
+// Guards against a read of a replica that may lack what the route promises.
+TEST_F(statement_runner_test, read_without_a_proof_runs_at_the_primary_under_its_lead) {
+    const auto outcome = run_alone("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    EXPECT_EQ(outcome.server, server_name("primary"));
+    EXPECT_TRUE(received("primary", order_kind::begin));
+    EXPECT_TRUE(received("primary", order_kind::rollback));
+    EXPECT_FALSE(received("replica", order_kind::caller_statement));
+}
+
+// Guards against reads that all go to the primary.
+TEST_F(statement_runner_test, proved_read_runs_in_the_own_zone_with_the_position) {
+    prove({1, 10});
+    const auto outcome = run_alone("READ a");
+    EXPECT_EQ(outcome.server, server_name("replica"));
+    EXPECT_EQ(outcome.required, machines::log_position(1, 10));
+    EXPECT_EQ(m_servers.at("replica").received.back().after, machines::log_position(1, 10));
+}
+
+// Guards against a caller that is told that a replica lags though another server has the data.
+TEST_F(statement_runner_test, read_moves_on_from_a_lagging_replica) {
+    prove({1, 10});
+    m_servers.at("replica").position = {1, 3};
+    const auto outcome = run_alone("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    EXPECT_EQ(outcome.server, server_name("primary"));
+}
+
+// Guards against a read of an old primary that does not know of its successor.
+TEST_F(statement_runner_test, newest_read_is_not_taken_from_a_server_that_lost_the_lead) {
+    m_route.policy = fleet::read_policy::newest;
+    m_servers.at("primary").primary = false;
+    const auto outcome = run_alone("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::read_only);
+}
+
+// Guards against "not run" for a write whose answer was lost.
+TEST_F(statement_runner_test, write_without_an_answer_is_in_doubt) {
+    m_servers.at("primary").breaks_at = order_kind::caller_statement;
+    EXPECT_EQ(run_alone("WRITE a b", true).answer.code, answer_code::in_doubt);
+    EXPECT_EQ(m_servers.at("primary").received.size(), 1U);
+}
+
+// Guards against a write that is sent a second time after silence.
+TEST_F(statement_runner_test, silent_write_is_not_repeated) {
+    m_servers.at("primary").silent_at = order_kind::caller_statement;
+    EXPECT_EQ(run_alone("WRITE a b", true).answer.code, answer_code::timed_out);
+    EXPECT_EQ(m_servers.at("primary").received.size(), 1U);
+}
+
+// Guards against a read that fails with its server though others have the data.
+TEST_F(statement_runner_test, broken_read_runs_at_another_server) {
+    prove({1, 10});
+    m_servers.at("replica").breaks_at = order_kind::caller_statement;
+    const auto outcome = run_alone("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    EXPECT_EQ(outcome.server, server_name("primary"));
+}
+
+// Guards against a promise for a commit that may have been carried out.
+TEST_F(statement_runner_test, commit_without_an_answer_is_in_doubt) {
+    ASSERT_EQ(run_first("WRITE a b", false, true).answer.code, answer_code::ok);
+    ASSERT_TRUE(m_transaction);
+    m_servers.at("primary").breaks_at = order_kind::caller_statement;
+    const auto outcome =
+        run_coroutine(m_io, m_runner.run_next(m_service, make("COMMIT"), *m_transaction));
+    EXPECT_EQ(outcome.answer.code, answer_code::in_doubt);
+    EXPECT_TRUE(outcome.transaction_over);
+}
+
+// Guards against a lost statement inside a transaction that is reported as possibly kept.
+TEST_F(statement_runner_test, broken_transaction_before_its_commit_is_aborted) {
+    ASSERT_EQ(run_first("WRITE a b", false, true).answer.code, answer_code::ok);
+    m_servers.at("primary").breaks_at = order_kind::caller_statement;
+    const auto outcome =
+        run_coroutine(m_io, m_runner.run_next(m_service, make("WRITE c d", true), *m_transaction));
+    EXPECT_EQ(outcome.answer.code, answer_code::aborted);
+}
+
+// Guards against a connection that goes back to the pool inside a transaction.
+TEST_F(statement_runner_test, rolled_back_transaction_frees_its_connection) {
+    prove({1, 10});
+    ASSERT_EQ(run_first("READ a", true).answer.code, answer_code::ok);
+    EXPECT_EQ(m_transaction->pool->server().id, server_name("replica"));
+    statement_runner::roll_back(std::move(m_transaction));
+    m_io.restart();
+    m_io.run();
+    EXPECT_TRUE(received("replica", order_kind::rollback));
+    EXPECT_EQ(run_alone("READ b").server, server_name("replica"));
+    EXPECT_EQ(m_servers.at("replica").opened, 1);
+}
+
+} // namespace
+} // namespace oriole::entry
--- /dev/null
+++ b/src/sessions/tests/caller_session_test.cpp
@@ -0,0 +1,108 @@
+#include "sessions/caller_session.h"
+
+#include <gtest/gtest.h>
+
+namespace oriole::sessions {
+namespace {
+
+class caller_session_test : public testing::Test {
+protected:
+    static statement make(statement_kind kind, const std::string& name = {},
+                          const std::string& argument = {}) {
+        statement value;
+        value.id = "1";
+        value.kind = kind;
+        value.name = name;
+        value.argument = argument;
+        return value;
+    }
+
+    session_decision decide(statement_kind kind, const std::string& name = {},
+                            const std::string& argument = {}) {
+        return m_session.decide(make(kind, name, argument));
+    }
+
+    void prepare(const std::string& name, const std::string& shape, bool writes) {
+        auto value = make(statement_kind::prepare, name);
+        value.shape = shape;
+        value.writes = writes;
+        ASSERT_EQ(m_session.decide(value).code, answer_code::ok);
+    }
+
+    caller_session m_session;
+};
+
+// Guards against a read that is counted twice against the rate inside a transaction.
+TEST_F(caller_session_test, read_in_a_transaction_starts_no_operation) {
+    EXPECT_TRUE(decide(statement_kind::read).starts_operation);
+    EXPECT_TRUE(decide(statement_kind::begin).starts_operation);
+    EXPECT_FALSE(decide(statement_kind::read).starts_operation);
+}
+
+// Guards against a commit that no server has run.
+TEST_F(caller_session_test, commit_without_a_transaction_is_malformed) {
+    const auto decision = decide(statement_kind::commit);
+    EXPECT_EQ(decision.step, session_step::answer);
+    EXPECT_EQ(decision.code, answer_code::malformed);
+}
+
+// Guards against statements that run in a transaction whose earlier statement failed.
+TEST_F(caller_session_test, failed_transaction_refuses_all_but_its_end) {
+    static_cast<void>(decide(statement_kind::begin));
+    m_session.transaction_failed();
+    EXPECT_EQ(decide(statement_kind::read).code, answer_code::malformed);
+    EXPECT_EQ(decide(statement_kind::set_value, "a", "1").code, answer_code::malformed);
+    EXPECT_EQ(m_session.state(), transaction_state::failed);
+    EXPECT_EQ(decide(statement_kind::rollback).code, answer_code::ok);
+    EXPECT_EQ(m_session.state(), transaction_state::none);
+}
+
+// Guards against a success for a commit that kept nothing.
+TEST_F(caller_session_test, commit_of_a_failed_transaction_is_answered_as_aborted) {
+    static_cast<void>(decide(statement_kind::begin));
+    m_session.transaction_failed();
+    EXPECT_EQ(decide(statement_kind::commit).code, answer_code::aborted);
+    EXPECT_EQ(m_session.state(), transaction_state::none);
+}
+
+// Guards against an execute that runs a name of another session.
+TEST_F(caller_session_test, execute_of_an_unknown_name_is_refused_here) {
+    const auto decision = decide(statement_kind::execute, "s1", "x");
+    EXPECT_EQ(decision.step, session_step::answer);
+    EXPECT_EQ(decision.code, answer_code::unknown_name);
+}
+
+// Guards against a prepared write that is taken for a read and sent to a replica.
+TEST_F(caller_session_test, execute_of_a_prepared_write_writes) {
+    prepare("s1", "q", true);
+    const auto decision = decide(statement_kind::execute, "s1", "x");
+    EXPECT_EQ(decision.step, session_step::run);
+    EXPECT_TRUE(decision.writes);
+    EXPECT_EQ(decision.shape, (prepared_shape{"q", true}));
+}
+
+// Guards against a closed name that goes on running.
+TEST_F(caller_session_test, closed_name_is_unknown) {
+    prepare("s1", "q", false);
+    EXPECT_EQ(decide(statement_kind::close_prepared, "s1").code, answer_code::ok);
+    EXPECT_EQ(decide(statement_kind::close_prepared, "s1").code, answer_code::unknown_name);
+}
+
+// Guards against an error inside a transaction that leaves it open at the server.
+TEST_F(caller_session_test, malformed_statement_abandons_the_transaction) {
+    static_cast<void>(decide(statement_kind::begin));
+    const auto decision = decide(statement_kind::malformed);
+    EXPECT_EQ(decision.step, session_step::abandon);
+    EXPECT_EQ(decision.code, answer_code::malformed);
+    EXPECT_EQ(m_session.state(), transaction_state::failed);
+}
+
+// Guards against a session that forgets its newest write when an older answer is noted.
+TEST_F(caller_session_test, last_commit_never_goes_back) {
+    m_session.committed({2, 9});
+    m_session.committed({2, 7});
+    EXPECT_EQ(m_session.last_commit(), machines::log_position(2, 9));
+}
+
+} // namespace
+} // namespace oriole::sessions
