Try a failed server again; learn at once that an instance has ended

An instance that had ended held the others' weights for up to 16 s. Change: one statement in 300 ms tries a failed server; an instance says that it ends, and a refused connection shows that its process has ended; only demand that can be confirmed is reported; no part of a rate is spent before the other instances are known.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -181,6 +181,7 @@
 }
 
 asio::awaitable<void> control_thread::leave() {
+    m_peers.tell_leaving();
     asio::co_spawn(
         m_io,
         [this]() -> asio::awaitable<void> {
--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -122,6 +122,7 @@
         m_own_beat_at = own->second.beat_at;
     }
     m_instances = std::move(next);
+    m_instances_known = true;
     return update_peers();
 }
 
@@ -149,6 +150,9 @@
                                   std::optional<clock::time_point> asked, clock::time_point now) {
     const bool taken = m_division->take(report.demand);
     m_heard.insert(report.demand.from);
+    if (report.leaving) {
+        mark_ended(report.demand.from, report.demand.incarnation);
+    }
     m_unlisted = m_unlisted || !taken;
     take_configuration(report.configuration, report.known.configuration, "peer");
     if (report.servers && report.known.servers > m_known.servers) {
@@ -219,6 +223,11 @@
     return report;
 }
 
+bool fleet_knowledge::mark_ended(const instance_id& peer, std::uint64_t incarnation) {
+    m_ended[peer] = incarnation;
+    return update_peers();
+}
+
 std::vector<std::pair<service_name, fleet::primary_change>>
 fleet_knowledge::due_changes(clock::time_point now) {
     std::vector<std::pair<service_name, fleet::primary_change>> due;
@@ -289,14 +298,16 @@
         for (const auto& key : account.keys) {
             view.accounts_by_key[key] = account.name;
         }
-        view.shares[account.name] = m_division->share_of(account);
+        if (m_instances_known) {
+            view.shares[account.name] = m_division->share_of(account);
+        }
     }
     for (const auto& server : m_servers) {
         if (auto entry = usable(server, now)) {
             view.servers[server.service].push_back(std::move(*entry));
         }
     }
-    view.ready = !view.servers.empty();
+    view.ready = m_instances_known && !view.servers.empty();
     return view;
 }
 
@@ -326,7 +337,9 @@
     for (const auto& [id, seen] : m_instances) {
         const auto limit = m_heard.contains(id) ? silent_instance : silent_stranger;
         const bool silent = m_own_beat_at && *m_own_beat_at - seen.beat_at > limit;
-        if (id != m_own.id && !silent) {
+        const auto ended = m_ended.find(id);
+        const bool over = ended != m_ended.end() && ended->second == seen.listed.incarnation;
+        if (id != m_own.id && !silent && !over) {
             live.push_back(seen.listed);
         }
     }
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -54,6 +54,10 @@
     [[nodiscard]] peer_report report_for(const instance_id& peer, const known_revisions* peer_knows,
                                          clock::time_point now);
 
+    /// The process of that start has ended, so it spends nothing any more. Returns whether it was
+    /// among the peers.
+    bool mark_ended(const instance_id& peer, std::uint64_t incarnation);
+
     /// The peer has taken over the demand report of that number.
     void confirm(const instance_id& peer, std::uint64_t number) {
         m_division->confirm(peer, number);
@@ -135,8 +139,10 @@
     std::map<service_name, service_report> m_traffic;
     std::map<service_name, std::map<instance_id, peer_evidence>> m_peer_evidence;
     std::map<service_name, sessions::position_proof> m_learnt;
+    std::map<instance_id, std::uint64_t> m_ended; ///< starts of instances that have ended
     std::set<instance_id> m_heard; ///< instances that have reported since this one started
     bool m_unlisted = false;
+    bool m_instances_known = false; ///< without them the parts of the rates are not known
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -63,29 +63,46 @@
     }
 }
 
+void peer_exchange::tell_leaving() {
+    m_leaving = true;
+    m_asking.clear();
+    ask_all();
+}
+
 asio::awaitable<void> peer_exchange::ask(fleet::listed_instance peer) {
     if (!m_asking.insert(peer.id).second) {
         co_return;
     }
     try {
-        const auto started = steady_clock().now();
-        const auto asked = boot_clock().now();
-        const auto question = m_knowledge.report_for(peer.id, nullptr, started);
-        const auto text = co_await m_link->call(peer.peer_address, method, encode_report(question),
-                                                started + call_limit);
-        const auto report = decode_report(text);
-        if (report.confirmed == question.demand.number) {
-            m_knowledge.confirm(peer.id, report.confirmed);
+        co_await exchange(peer);
+    } catch (const links::peer_not_running& failure) {
+        set_reachable(peer.id, false, failure.what());
+        if (m_knowledge.mark_ended(peer.id, peer.incarnation)) {
+            ask_all();
         }
-        static_cast<void>(m_knowledge.take_report(report, asked, steady_clock().now()));
-        set_reachable(peer.id, true, "answered");
-        m_on_news();
     } catch (const error& failure) {
         set_reachable(peer.id, false, failure.what());
     }
     m_asking.erase(peer.id);
 }
 
+asio::awaitable<void> peer_exchange::exchange(const fleet::listed_instance& peer) {
+    const auto started = steady_clock().now();
+    const auto asked = boot_clock().now();
+    auto question = m_knowledge.report_for(peer.id, nullptr, started);
+    question.leaving = m_leaving;
+    auto text = encode_report(question);
+    const auto answered = co_await m_link->call(peer.peer_address, method, std::move(text),
+                                                started + call_limit);
+    const auto report = decode_report(answered);
+    if (report.confirmed == question.demand.number) {
+        m_knowledge.confirm(peer.id, report.confirmed);
+    }
+    static_cast<void>(m_knowledge.take_report(report, asked, steady_clock().now()));
+    set_reachable(peer.id, true, "answered");
+    m_on_news();
+}
+
 asio::awaitable<std::string> peer_exchange::answer(std::string text) {
     const auto now = steady_clock().now();
     const auto question = decode_report(text);
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -30,10 +30,14 @@
     /// Asks all instances now.
     void ask_all();
 
+    /// Tells all instances that this one ends.
+    void tell_leaving();
+
     void stop() { m_server->stop(); }
 
 private:
     [[nodiscard]] boost::asio::awaitable<void> ask(fleet::listed_instance peer);
+    [[nodiscard]] boost::asio::awaitable<void> exchange(const fleet::listed_instance& peer);
     [[nodiscard]] boost::asio::awaitable<std::string> answer(std::string text);
     void set_reachable(const instance_id& peer, bool reachable, const std::string& reason);
 
@@ -45,6 +49,7 @@
     std::unique_ptr<links::peer_server> m_server;
     std::set<instance_id> m_asking;
     std::map<instance_id, bool> m_reachable;
+    bool m_leaving = false;
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -176,6 +176,7 @@
 peer_report decode(const json& in) {
     peer_report report;
     report.demand = decode_demand(in.at("demand"));
+    report.leaving = in.at("leaving").get<bool>();
     report.confirmed = in.at("confirmed").get<std::uint64_t>();
     const auto& known = in.at("known");
     report.known = {known.at(0).get<std::uint64_t>(), known.at(1).get<std::uint64_t>(),
@@ -207,6 +208,7 @@
 std::string encode_report(const peer_report& report) {
     json out{{"demand", encode_demand(report.demand)},
              {"confirmed", report.confirmed},
+             {"leaving", report.leaving},
              {"known",
               {report.known.configuration, report.known.servers, report.known.evacuations}}};
     out["services"] = json::object();
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -22,8 +22,13 @@
 constexpr clock::duration suspect_after = 250ms;
 /// Silence that counts as evidence at all; shorter waits are ordinary work.
 constexpr clock::duration notice_after = 150ms;
+/// A server that failed is tried by one statement in this time.
+constexpr clock::duration retry_interval = 300ms;
 /// For answers that nobody waits for any more.
 constexpr clock::duration drain_limit = 2s;
+/// Pause before the next new connection to a server that takes no more; connections of machines
+/// that lost power stay there for seconds.
+constexpr clock::duration full_pause = 150ms;
 
 } // namespace
 
@@ -56,11 +61,20 @@
                                                  const sessions::session_values& values,
                                                  clock::time_point give_up) {
     const auto self = shared_from_this();
+    const auto now = steady_clock().now();
+    if (m_failed && now >= m_retry_at) {
+        m_retry_at = now + retry_interval; // This statement finds out whether the server is back.
+    }
     if (auto connection = take_idle(account, values)) {
         pool_grant grant;
         grant.connection = std::move(connection);
         co_return grant;
     }
+    if (m_full_until > now) {
+        pool_grant grant;
+        grant.refusal = answer_code::connection_limit;
+        co_return grant;
+    }
     if (make_place()) {
         ++m_open;
         co_return co_await open(std::move(account));
@@ -140,6 +154,7 @@
     if (!m_failed) {
         m_failed = now;
     }
+    m_retry_at = now + retry_interval;
 }
 
 fleet::primary_evidence server_pool::evidence(clock::time_point now) const {
@@ -159,13 +174,16 @@
 }
 
 bool server_pool::suspected(clock::time_point now) const {
+    if (m_failed) {
+        return now < m_retry_at;
+    }
     const auto seen = evidence(now);
-    return m_failed || (seen.failing_since && now - *seen.failing_since > suspect_after);
+    return seen.failing_since && now - *seen.failing_since > suspect_after;
 }
 
 bool server_pool::available(const account_name& account) const {
     if (m_open < m_limit) {
-        return true;
+        return m_full_until <= steady_clock().now();
     }
     return std::any_of(m_idle.begin(), m_idle.end(), [&account](const auto& connection) {
                return connection->account == account;
@@ -245,6 +263,8 @@
         grant.refusal = answer.code;
         if (answer.code == answer_code::wrong_server) {
             mark_failed(steady_clock().now());
+        } else if (answer.code == answer_code::connection_limit) {
+            m_full_until = steady_clock().now() + full_pause;
         }
     } catch (const server_unreachable&) {
         mark_failed(steady_clock().now());
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -115,7 +115,9 @@
     std::deque<std::shared_ptr<pool_waiter>> m_waiters;
     std::multiset<clock::time_point> m_waiting_since;
     std::optional<clock::time_point> m_answered;
-    std::optional<clock::time_point> m_failed;
+    std::optional<clock::time_point> m_failed; ///< first failure since the last answer
+    clock::time_point m_retry_at{};            ///< when a failed server is tried again
+    clock::time_point m_full_until{}; ///< until then the server takes no more connections
 };
 
 } // namespace oriole::entry
--- a/src/entry/tests/server_pool_test.cpp
+++ b/src/entry/tests/server_pool_test.cpp
@@ -82,5 +82,15 @@
     EXPECT_FALSE(m_pool->suspected(steady_clock().now()));
 }
 
+// Guards against a server that failed once and is never used again, as after a cut of a primary
+// that was promoted later.
+TEST_F(server_pool_test, failed_server_is_tried_again) {
+    m_servers.at("s").refuses_connections = true;
+    EXPECT_FALSE(acquire("a").connection);
+    const auto now = steady_clock().now();
+    EXPECT_TRUE(m_pool->suspected(now));
+    EXPECT_FALSE(m_pool->suspected(now + 1s));
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/entry/types/peer_report.h
+++ b/src/entry/types/peer_report.h
@@ -41,6 +41,7 @@
     fleet::demand_report demand;
     std::uint64_t confirmed = 0; ///< number of the demand report that this answers, if it was taken
     known_revisions known;
+    bool leaving = false; ///< the sender ends now and spends nothing any more
     std::map<service_name, peer_service_report> services;
     std::shared_ptr<const fleet::configuration> configuration;
     std::optional<std::vector<fleet::listed_server>> servers;
--- a/src/fleet/internal/confirmed_share_division.cpp
+++ b/src/fleet/internal/confirmed_share_division.cpp
@@ -45,8 +45,7 @@
     demand_report report_for(const instance_id& peer) override {
         const auto found = m_peers.find(peer);
         ++m_number;
-        // A weight that may not be used would only lower the others' parts.
-        const weights reported = blocked() ? weights{} : m_demand;
+        const weights reported = usable_demand();
         if (found != m_peers.end()) {
             found->second.unconfirmed.emplace_back(m_number, reported);
             if (found->second.unconfirmed.size() > max_unconfirmed) {
@@ -112,11 +111,19 @@
         peer.unconfirmed.erase(peer.unconfirmed.begin());
     }
 
-    /// Whether an instance has had time to confirm a report and has not.
-    [[nodiscard]] bool blocked() const {
-        return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
-            return !item.second.confirmed && item.second.unconfirmed.size() >= unanswered_reports;
-        });
+    /// The demand, as far as instances that no longer answer have confirmed it. More could not be
+    /// used and would only lower the others' parts.
+    [[nodiscard]] weights usable_demand() const {
+        weights usable = m_demand;
+        for (const auto& [id, peer] : m_peers) {
+            if (peer.unconfirmed.size() < unanswered_reports) {
+                continue;
+            }
+            for (auto& [name, weight] : usable) {
+                weight = std::min(weight, peer.confirmed ? weight_in(*peer.confirmed, name) : 0);
+            }
+        }
+        return usable;
     }
 
     /// The smallest weight of this instance that any peer may count with.
--- a/src/links/internal/tcp_peer_link.cpp
+++ b/src/links/internal/tcp_peer_link.cpp
@@ -108,6 +108,11 @@
 awaitable<connection_ptr> tcp_peer_link::open(const endpoint& peer, clock::time_point deadline) {
     try {
         co_return co_await connect(peer, deadline);
+    } catch (const boost::system::system_error& failure) {
+        if (failure.code() == asio::error::connection_refused) {
+            throw peer_not_running("peer " + peer.str() + " does not run");
+        }
+        throw link_error("peer " + peer.str() + " cannot be reached: " + failure.what(), false);
     } catch (const std::exception& failure) {
         throw link_error("peer " + peer.str() + " cannot be reached: " + failure.what(), false);
     }
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -22,6 +22,12 @@
     using error::error;
 };
 
+/// Nothing listens at the peer's address: its process has ended.
+class peer_not_running : public error {
+public:
+    using error::error;
+};
+
 /// The secret that the instances of a site share. Peers that do not know it are refused.
 struct peer_secret {
     std::string text;
@@ -40,8 +46,8 @@
 
     /// Calls `method` with the JSON object `params` and returns the JSON value of the result. A
     /// request that may have been sent is not repeated. Throws link_error when the peer cannot be
-    /// reached, does not know the secret or is late; peer_call_failed when it answers with an
-    /// error.
+    /// reached, does not know the secret or is late; peer_not_running when its machine refuses the
+    /// connection; peer_call_failed when it answers with an error.
     [[nodiscard]] virtual boost::asio::awaitable<std::string>
     call(endpoint peer, std::string method, std::string params, clock::time_point deadline) = 0;
 
