Send callers away from a zone that is cut off

Cause: in a cut of a zone its instances reach no primary and refuse most of what callers ask, although the balancer could send them to another zone. Change: an instance that has lost all instances of other zones and most primaries is not ready and closes idle sessions once the balancer has noticed; an instance starts with what half a second of its part of a rate gives.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -228,9 +228,24 @@
     }
     m_primary_failed = fails;
     m_changer.start_due(now);
+    update_isolation();
     publish();
 }
 
+void control_thread::update_isolation() {
+    const bool lost_zones = m_peers.lost_other_zones(m_own.zone);
+    // Once isolated, the statements that would show that the primaries are back go elsewhere.
+    const bool isolated = lost_zones && (m_isolated || m_knowledge.most_primaries_fail());
+    if (isolated == m_isolated) {
+        return;
+    }
+    m_isolated = isolated;
+    m_log.write(log_entry("isolation")
+                    .add("zone", m_own.zone.str())
+                    .add("outcome", isolated ? "isolated" : "connected"));
+    m_traffic.set_isolated(isolated);
+}
+
 void control_thread::publish() {
     const auto now = steady_clock().now();
     static_cast<void>(m_knowledge.advance(now));
@@ -239,7 +254,7 @@
     }
     auto view = m_knowledge.make_view(now);
     const bool was_ready = m_ready;
-    m_ready = view.ready && !m_leaving;
+    m_ready = view.ready && !m_leaving && !m_isolated;
     if (m_ready != was_ready) {
         m_log.write(log_entry("readiness").add("outcome", m_ready ? "ready" : "not_ready"));
     }
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -51,6 +51,7 @@
     [[nodiscard]] boost::asio::awaitable<void> pause(clock::duration time);
     void on_store_health(bool reachable);
     void on_traffic(const traffic_report& report);
+    void update_isolation();
     void publish();
 
     entry_settings m_settings;
@@ -71,6 +72,7 @@
     bool m_ready = false;
     bool m_leaving = false;
     bool m_primary_failed = false;
+    bool m_isolated = false; ///< cut off from the other zones and from most primaries
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -288,6 +288,13 @@
     });
 }
 
+bool fleet_knowledge::most_primaries_fail() const {
+    const auto failing = std::count_if(m_traffic.begin(), m_traffic.end(), [](const auto& item) {
+        return item.second.evidence.failing_since.has_value();
+    });
+    return failing > 0 && 2 * static_cast<std::size_t>(failing) >= m_traffic.size();
+}
+
 fleet::fleet_view fleet_knowledge::make_view(clock::time_point now) const {
     fleet::fleet_view view;
     view.config = m_config;
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -90,6 +90,9 @@
     /// Whether a primary fails here, so that the others should be asked at once.
     [[nodiscard]] bool primary_fails() const;
 
+    /// Whether the primaries of at least half of the services fail here.
+    [[nodiscard]] bool most_primaries_fail() const;
+
     [[nodiscard]] fleet::fleet_view make_view(clock::time_point now) const;
 
     /// Whether an instance has reported that is not listed yet, so that the list is out of date.
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -113,6 +113,21 @@
     co_return encode_report(report);
 }
 
+bool peer_exchange::lost_other_zones(const zone_name& own_zone) const {
+    bool some = false;
+    for (const auto& peer : m_knowledge.peers()) {
+        if (peer.zone == own_zone) {
+            continue;
+        }
+        const auto known = m_reachable.find(peer.id);
+        if (known == m_reachable.end() || known->second) {
+            return false;
+        }
+        some = true;
+    }
+    return some;
+}
+
 void peer_exchange::set_reachable(const instance_id& peer, bool reachable,
                                   const std::string& reason) {
     const auto known = m_reachable.find(peer);
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -5,6 +5,13 @@
 #include "contracts/contracts_module.h"
 
 namespace oriole::entry {
+namespace {
+
+/// An instance that starts has spent nothing for at least this long, whether it is new or its
+/// process was started again.
+constexpr clock::duration unused_before_start = std::chrono::milliseconds(500);
+
+} // namespace
 
 using sessions::answer_code;
 
@@ -96,9 +103,11 @@
         if (known != m_shares.end() && known->second == share) {
             continue;
         }
+        // What accrued while the account could not spend here is its own.
+        const auto since = known == m_shares.end() ? now - unused_before_start : now;
         m_limiter->set_share(
             account, contracts::rate(rate_name(account.str()), share.operations_per_s, share.burst),
-            whole, now);
+            whole, since);
         m_shares[account] = share;
     }
     std::erase_if(m_shares, [this](const auto& known) {
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -62,6 +62,15 @@
     asio::post(m_io, [this, name = std::move(service), proof] { m_context.learn(name, proof); });
 }
 
+void traffic_thread::set_isolated(bool isolated) {
+    asio::post(m_io, [this, isolated] {
+        m_isolated = isolated;
+        if (isolated) {
+            asio::co_spawn(m_io, send_callers_away(), asio::detached);
+        }
+    });
+}
+
 void traffic_thread::leave(std::function<void()> on_end) {
     asio::post(m_io, [this, done = std::move(on_end)]() mutable {
         asio::co_spawn(m_io, close_sessions(std::move(done)), asio::detached);
@@ -96,26 +105,41 @@
     const std::size_t group = open_sessions().size() / close_groups + 1;
     while (true) {
         const auto spent = steady_clock().now() - started;
-        auto sessions = open_sessions();
+        const auto sessions = open_sessions();
         if (sessions.empty() || spent > m_settings.stop_grace - last_part) {
             break;
         }
-        std::size_t closed = 0;
-        for (const auto& session : sessions) {
-            if (spent > m_settings.stop_grace / 2) {
+        if (spent > m_settings.stop_grace / 2) {
+            for (const auto& session : sessions) {
                 session->abort_transaction();
             }
-            if (closed < group && session->idle()) {
-                session->close();
-                ++closed;
-            }
         }
+        close_idle(group);
         co_await pause(close_interval);
     }
     m_listener->stop();
     on_end();
 }
 
+asio::awaitable<void> traffic_thread::send_callers_away() {
+    co_await pause(balancer_delay);
+    const std::size_t group = m_sessions.size() / close_groups + 1;
+    while (m_isolated) {
+        close_idle(group);
+        co_await pause(close_interval);
+    }
+}
+
+void traffic_thread::close_idle(std::size_t most) {
+    std::size_t closed = 0;
+    for (const auto& session : open_sessions()) {
+        if (closed < most && session->idle()) {
+            session->close();
+            ++closed;
+        }
+    }
+}
+
 asio::awaitable<void> traffic_thread::pause(clock::duration time) {
     asio::steady_timer timer(m_io, time);
     boost::system::error_code ignored;
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -38,6 +38,9 @@
 
     void learn(service_name service, sessions::position_proof proof);
 
+    /// While isolated, idle sessions are closed once the balancer sends callers elsewhere.
+    void set_isolated(bool isolated);
+
     /// Ends the sessions without cutting off a request, then calls `on_end` on the traffic thread.
     void leave(std::function<void()> on_end);
 
@@ -47,6 +50,8 @@
     void serve(std::shared_ptr<caller_channel> channel);
     [[nodiscard]] boost::asio::awaitable<void> report_regularly();
     [[nodiscard]] boost::asio::awaitable<void> close_sessions(std::function<void()> on_end);
+    [[nodiscard]] boost::asio::awaitable<void> send_callers_away();
+    void close_idle(std::size_t most);
     [[nodiscard]] boost::asio::awaitable<void> pause(clock::duration time);
     [[nodiscard]] std::vector<std::shared_ptr<caller_service>> open_sessions();
 
@@ -58,6 +63,7 @@
     report_handler m_on_report;
     session_list m_sessions;
     metric& m_open_sessions;
+    bool m_isolated = false;
     std::thread m_thread;
 };
 
