Keep a new primary against old proofs; add a stand-in of the users' platform

Cause: the process test of a dark primary never ended: the traffic thread's newest proof, of the old term, was reported again and again and undid each promotion until a statement had run at the new primary. Change: only a proof of a higher term names the primary. standins/users_platform has backends, the object store and the promotion; 17 process tests run the program against it.

--- a/src/base/internal/latency_histogram.cpp
+++ b/src/base/internal/latency_histogram.cpp
@@ -7,8 +7,9 @@
       m_count(metrics.get(name + "_ms_count")),
       m_sum_ms(metrics.get(name + "_ms_sum")) {
     for (std::size_t i = 0; i < bounds_ms.size(); ++i) {
-        const auto bound = std::to_string(bounds_ms[i]);
-        m_buckets[i] = &metrics.get(name + "_ms_bucket{le=\"" + bound + "\"}");
+        std::string bucket = name;
+        bucket.append("_ms_bucket{le=\"").append(std::to_string(bounds_ms[i])).append("\"}");
+        m_buckets[i] = &metrics.get(bucket);
     }
 }
 
--- a/src/fleet/internal/ranked_primary_watch.cpp
+++ b/src/fleet/internal/ranked_primary_watch.cpp
@@ -37,13 +37,12 @@
     }
 
     void proved(const server_name& server, const machines::log_position& position) override {
-        if (position.term() < m_term) {
+        // A proof of a known term may be older than an order or an entry that names another server.
+        if (position.term() <= m_term) {
             return;
         }
-        if (position.term() > m_term || m_primary != server) {
-            adopt(server);
-        }
         m_term = position.term();
+        adopt(server);
     }
 
     void promoted(const server_name& server) override {
--- a/src/fleet/tests/primary_watch_test.cpp
+++ b/src/fleet/tests/primary_watch_test.cpp
@@ -133,6 +133,15 @@
     EXPECT_EQ(m_watch->term(), 2U);
 }
 
+// Guards against a new primary that is given up again: the traffic thread goes on reporting the
+// newest proof, which is the lost primary's until a statement has run at the new one.
+TEST_F(primary_watch_test, repeated_proof_of_the_old_term_does_not_undo_a_promotion) {
+    m_watch->proved(old_primary, {1, 5});
+    m_watch->promoted(replica);
+    m_watch->proved(old_primary, {1, 5});
+    EXPECT_EQ(m_watch->primary(), replica);
+}
+
 // Guards against a change of primary that only the list tells.
 TEST_F(primary_watch_test, newer_entry_names_the_primary) {
     m_situation.servers[0].primary = false;
--- /dev/null
+++ b/standins/users_platform/http.py
@@ -0,0 +1,47 @@
+"""A small HTTP/1.1 server with JSON bodies."""
+
+import asyncio
+import json
+from urllib.parse import parse_qsl, urlsplit
+
+REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone", 503: "Busy"}
+
+
+async def read_request(reader):
+    """(method, path, query, headers, body), or None at the end of the stream."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = head.decode().split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    size = int(headers.get("content-length", 0))
+    body = json.loads(await reader.readexactly(size)) if size else None
+    parts = urlsplit(target)
+    return method, parts.path, dict(parse_qsl(parts.query)), headers, body
+
+
+async def serve_http(reader, writer, handle):
+    """Answers requests by `handle(method, path, query, headers, body)`, which returns a status and
+    a body; None instead loses the answer and ends the connection."""
+    try:
+        while request := await read_request(reader):
+            answer = await handle(*request)
+            if answer is None:
+                break
+            status, body = answer
+            text = json.dumps(body).encode()
+            reason = REASONS.get(status, "Status")
+            writer.write(
+                f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(text)}\r\n\r\n".encode() + text
+            )
+            await writer.drain()
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
--- /dev/null
+++ b/standins/users_platform/platform.py
@@ -0,0 +1,112 @@
+"""The whole platform: one database service of three servers, the store and the promotions."""
+
+import asyncio
+import threading
+
+from .backend import Backend, Database
+from .http import serve_http
+from .store import Store
+
+LOOPBACK = "127.0.0.1"
+PROMOTE_S = 0.1
+SERVICE = "db"
+ZONES = ("zone-a", "zone-b", "zone-c")
+ROUTES = {"newest": ("primary", 0), "bounded": ("bounded_staleness", 1500),
+          "own": ("read_own_writes", 2500)}
+
+
+class Platform:
+    def __init__(self, rate=1000, burst=1000):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.rate, self.burst = rate, burst
+        self.keys = {"acme": ["acme-key"], "kita": ["kita-key"]}
+        self.version = 1
+        self.fences = []
+        self.call(self.start)
+
+    def call(self, function, *arguments):
+        """Runs a function or coroutine function in the platform's thread."""
+
+        async def run():
+            result = function(*arguments)
+            return await result if asyncio.iscoroutine(result) else result
+
+        return asyncio.run_coroutine_threadsafe(run(), self.loop).result(timeout=10)
+
+    def stop(self):
+        self.call(self.cancel_all)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    async def cancel_all(self):
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def start(self):
+        self.store = Store()
+        self.database = Database(SERVICE)
+        self.store_port = await self.listen(
+            lambda reader, writer: serve_http(reader, writer, self.store.handle))
+        self.promotion_port = await self.listen(
+            lambda reader, writer: serve_http(reader, writer, self.promote))
+        for number, zone in enumerate(ZONES):
+            server = Backend(self.database, f"i-{number}", zone)
+            await self.start_server(server)
+        self.database.leader = self.database.servers["i-0"]
+        for server in self.database.servers.values():
+            await self.register(server)
+        await self.publish()
+
+    async def listen(self, handler, port=0):
+        listener = await asyncio.start_server(handler, LOOPBACK, port)
+        return listener.sockets[0].getsockname()[1]
+
+    async def start_server(self, server):
+        server.listener = await asyncio.start_server(server.serve, LOOPBACK, server.port)
+        server.port = server.listener.sockets[0].getsockname()[1]
+
+    async def register(self, server, state="ready"):
+        role = "primary" if server.leads else "replica"
+        await self.store.put("servers", server.id, {
+            "service": SERVICE, "address": f"{LOOPBACK}:{server.port}", "zone": server.zone,
+            "version": "v1", "slots": 3, "state": state, "cold_remaining_ms": 0,
+            "db_role": role, "seq": 1, "born": 1})
+
+    async def publish(self):
+        """Writes the configuration with the present keys and rates."""
+        self.version += 1
+        routes = [{"name": name, "host": name, "path_prefix": "/", "kind": kind,
+                   "timeout_ms": 1000, "latency_target_ms": 800, "priority": 1,
+                   "service": SERVICE, "max_attempts": 2, "max_staleness_ms": age,
+                   "public": False} for name, (kind, age) in ROUTES.items()]
+        tenants = [{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": self.rate,
+                    "burst": self.burst} for name, keys in self.keys.items()]
+        await self.store.put("config", "main", {
+            "version": self.version, "routes": routes, "tenants": tenants,
+            "services": [{"name": SERVICE, "max_conns": 21, "sync_replicas": 0}],
+            "limits": {"tx_idle_ms": 1000}})
+
+    async def promote(self, _method, path, _query, headers, body):
+        fence = int(headers["fencing-token"])
+        if path != "/promote" or (self.fences and fence < self.fences[-1]):
+            return 409, {}
+        self.fences.append(fence)
+        server = self.database.servers[body["id"]]
+        if not server.leads:
+            self.loop.call_later(PROMOTE_S, self.finish_promotion, server)
+        return 200, {}
+
+    def finish_promotion(self, server):
+        self.database.promote(server)
+        for other in self.database.servers.values():
+            if not other.dark and other.listener.is_serving():
+                self.loop.create_task(self.register(other))
+
+    def runs(self):
+        """All statements that any server ran, as (server, run)."""
+        return [(server, run) for server in self.database.servers.values() for run in server.ran]
--- /dev/null
+++ b/standins/users_platform/store.py
@@ -0,0 +1,96 @@
+"""The object store: kinds of named objects with one revision counter, and watches."""
+
+import asyncio
+
+PREFIX = "/oriolethread/objects/"
+
+
+class Store:
+    def __init__(self):
+        self.revision = 1
+        self.objects = {}
+        self.history = []
+        self.oldest = 0
+        self.changed = asyncio.Condition()
+        self.down = False
+        self.lost_answers = 0
+        self.calls = 0
+
+    async def put(self, kind, name, spec):
+        """Writes an object as its owner does; a spec of None removes it."""
+        objects = self.objects.setdefault(kind, {})
+        self.revision += 1
+        if spec is None:
+            gone = objects.pop(name, None)
+            if gone is not None:
+                meta = dict(gone["meta"], revision=self.revision)
+                self.history.append((self.revision, kind, dict(gone, meta=meta), True))
+        else:
+            created = objects.get(name, {}).get("meta", {}).get("created", self.revision)
+            meta = {"name": name, "revision": self.revision, "created": created,
+                    "finalizers": [], "deleting": False}
+            objects[name] = {"meta": meta, "spec": spec, "status": None}
+            self.history.append((self.revision, kind, objects[name], False))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget_history(self):
+        self.history = []
+        self.oldest = self.revision
+
+    async def handle(self, method, path, query, _headers, body):
+        self.calls += 1
+        if self.down:
+            return 503, {}
+        kind, _, name = path.removeprefix(PREFIX).partition("/")
+        if method == "GET" and not name and "watch" in query:
+            return await self.watch(kind, int(query["watch"]), int(query["wait_ms"]))
+        if method == "GET" and not name:
+            items = sorted(self.objects.get(kind, {}).items())
+            items = [item for key, item in items if key > query.get("after", "")]
+            return 200, {"items": items, "has_more": False, "current_rev": self.revision}
+        answer = await self.change(method, kind, name, body)
+        if method != "GET" and self.lost_answers > 0:
+            self.lost_answers -= 1
+            return None
+        return answer
+
+    async def change(self, method, kind, name, body):
+        known = self.objects.get(kind, {}).get(name or (body or {}).get("meta", {}).get("name"))
+        if method == "GET":
+            return (200, known) if known else (404, {})
+        if method == "POST":
+            name = body["meta"]["name"]
+            if known:
+                return 409, known
+            await self.put(kind, name, body["spec"])
+            return 201, self.objects[kind][name]
+        if known is None:
+            return 404, {}
+        if method == "DELETE":
+            await self.put(kind, name, None)
+            return 200, {}
+        expected = body["meta"].get("revision")
+        if expected is not None and expected != known["meta"]["revision"]:
+            return 409, known
+        if body["spec"] != known["spec"]:
+            await self.put(kind, name, body["spec"])
+        return 200, self.objects[kind][name]
+
+    async def watch(self, kind, since, wait_ms):
+        if since < self.oldest:
+            return 410, {}
+
+        def events():
+            return [entry for entry in self.history if entry[0] > since and entry[1] == kind]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(lambda: events() or self.down),
+                                       wait_ms / 1000)
+            except asyncio.TimeoutError:
+                pass
+        if self.down:
+            return 503, {}
+        found = [{"object": entry[2], "deleted": entry[3]} for entry in events()]
+        return 200, {"events": found, "current_rev": self.revision}
--- /dev/null
+++ b/tests/process/platform_fixtures.py
@@ -0,0 +1,168 @@
+"""Fixtures of the tests that run the program against the stand-in of the users' platform."""
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "tools"))
+sys.path.insert(0, os.path.join(ROOT, "standins"))
+
+from oriole_site.http import fetch_status
+from oriole_site.processes import LOOPBACK, free_port, wait_until
+from users_platform import Platform
+
+WAIT_S = 20.0
+STOP_GRACE_S = 4
+
+
+class Answer:
+    """What came back for one statement."""
+
+    def __init__(self, rows, signature, error, state, position):
+        self.rows = rows
+        self.signature = signature
+        self.error = error
+        self.state = state
+        self.position = position
+
+    def __repr__(self):
+        return f"Answer(rows={self.rows}, error={self.error}, state={self.state})"
+
+
+class Session:
+    """A caller's session over the wire protocol."""
+
+    _next_id = 0
+
+    def __init__(self, port, database, key):
+        self.socket = socket.create_connection((LOOPBACK, port), timeout=WAIT_S)
+        self.input = self.socket.makefile("rb")
+        self.send(f"CONNECT {database} {key}")
+        self.greeting = self.line()
+
+    def send(self, text):
+        self.socket.sendall(text.encode() + b"\r\n")
+
+    def line(self):
+        return self.input.readline().decode().rstrip("\r\n")
+
+    def run(self, text):
+        Session._next_id += 1
+        self.last_id = f"{Session._next_id:x}"
+        self.send(f"QUERY {self.last_id} {text}")
+        return self.answer()
+
+    def answer(self):
+        rows, signature, error = [], None, None
+        while True:
+            line = self.line()
+            if not line:
+                raise ConnectionError("the session was closed")
+            word, _, rest = line.partition(" ")
+            if word == "DATAROW":
+                rows.append(rest)
+            elif word == "COMPLETE":
+                signature = rest
+            elif word == "ERROR":
+                error = rest.split(" ")[0]
+            elif word == "READY":
+                state, position = rest.split(" ")
+                return Answer(rows, signature, error, state, position)
+
+    def close(self):
+        self.input.close()
+        self.socket.close()
+
+
+class Instance:
+    def __init__(self, platform, number, zone, work_dir, build):
+        self.caller_port, self.admin_port, self.peer_port = (free_port() for _ in range(3))
+        settings = os.path.join(work_dir, f"settings-{number}.yaml")
+        self.log_path = os.path.join(work_dir, f"instance-{number}.log")
+        with open(settings, "w", encoding="utf-8") as out:
+            out.write(
+                f"instance: instance-{number}\nzone: {zone}\n"
+                f"callers: {LOOPBACK}:{self.caller_port}\nadmin: {LOOPBACK}:{self.admin_port}\n"
+                f"peers: {LOOPBACK}:{self.peer_port}\n"
+                f"store: {LOOPBACK}:{platform.store_port}\n"
+                f"promotions: {LOOPBACK}:{platform.promotion_port}\n"
+                f"stop_grace_s: {STOP_GRACE_S}\n")
+        program = os.path.join(build, "bin", "oriolethread-platform")
+        with open(self.log_path, "w", encoding="utf-8") as log:
+            self.process = subprocess.Popen([program, "--settings", settings], stdout=log,
+                                            stderr=subprocess.STDOUT)
+
+    def ready(self):
+        try:
+            return fetch_status(self.admin_port, "/readyz") == 200
+        except OSError:
+            return False
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as log:
+            return log.read()
+
+
+class PlatformTest(unittest.TestCase):
+    """Each test has a platform and two instances of its own."""
+
+    rate = 1000
+    burst = 1000
+
+    def setUp(self):
+        self.work_dir = tempfile.mkdtemp(prefix="oriole-platform-")
+        self.platform = Platform(self.rate, self.burst)
+        self.addCleanup(self.platform.stop)
+        build = os.environ.get("ORIOLE_BUILD", os.path.join(ROOT, "build"))
+        self.instances = []
+        for number, zone in enumerate(("zone-a", "zone-b")):
+            instance = Instance(self.platform, number, zone, self.work_dir, build)
+            self.addCleanup(instance.stop)
+            self.instances.append(instance)
+        for instance in self.instances:
+            self.wait(instance.ready, "readiness")
+
+    def run(self, result=None):
+        """The log files stay behind when a test fails."""
+        before = len(result.errors) + len(result.failures)
+        super().run(result)
+        if len(result.errors) + len(result.failures) == before:
+            shutil.rmtree(self.work_dir, ignore_errors=True)
+        return result
+
+    def session(self, database="newest", key="acme-key", index=0):
+        session = Session(self.instances[index].caller_port, database, key)
+        self.addCleanup(session.close)
+        return session
+
+    def server(self, name):
+        return self.platform.database.servers[name]
+
+    def succeed(self, session, text):
+        """Runs the statement until it succeeds."""
+        answer = None
+
+        def done():
+            nonlocal answer
+            answer = session.run(text)
+            return answer.error is None
+
+        wait_until(done, WAIT_S, text)
+        return answer
+
+    def wait(self, condition, what):
+        wait_until(condition, WAIT_S, what)
--- /dev/null
+++ b/tests/process/users_platform_test.py
@@ -0,0 +1,226 @@
+"""The program on the users' platform: sessions, changes of primary, configuration, stops."""
+
+import threading
+import time
+import unittest
+
+from platform_fixtures import STOP_GRACE_S, PlatformTest
+from oriole_site.http import fetch_metrics
+
+
+class SessionTest(PlatformTest):
+    # Guards against a session that does not see what it wrote, on replicas that lag.
+    def test_own_writes_are_read_while_replicas_lag(self):
+        for server in self.platform.database.servers.values():
+            server.lag_s = 0.3
+        session = self.session("own")
+        for number in range(20):
+            self.succeed(session, f"WRITE mark value{number}")
+            self.assertEqual(session.run("READ mark").rows, [f"value{number}"])
+
+    # Guards against values and prepared names of one session that reach another one's statements.
+    def test_values_and_prepared_names_stay_with_their_session(self):
+        sessions = [self.session("own", index=0) for _ in range(6)]
+        for number, session in enumerate(sessions):
+            self.assertIsNone(session.run(f"SET lang v{number}").error)
+            shape = f"q{number % 3}"
+            self.assertIsNone(session.run(f"PREPARE s1 READ {shape}").error)
+        for _ in range(4):
+            for session in sessions:
+                self.assertIsNone(session.run("EXECUTE s1 item").error)
+        ids = {}
+        for _, (request_id, _, words, _, values) in self.platform.runs():
+            ids[request_id] = (words[0], values.get("lang"))
+        for number, session in enumerate(sessions):
+            self.assertEqual(ids[session.last_id], (f"q{number % 3}", f"v{number}"))
+
+    # Guards against a statement of a transaction that runs outside of it, or at another server.
+    def test_transaction_stays_on_its_connection(self):
+        session = self.session("newest")
+        self.assertEqual(session.run("BEGIN").state, "T")
+        self.assertIsNone(session.run("WRITE a one").error)
+        self.assertEqual(session.run("READ a").rows, ["one"])
+        answer = session.run("COMMIT")
+        self.assertIsNone(answer.error)
+        self.assertEqual(answer.state, "I")
+        self.assertTrue(answer.signature.startswith("signed-i-0-"))
+        states = [run[3] for _, run in self.platform.runs()]
+        self.assertEqual(states, ["T", "T", "T"])
+
+    # Guards against writes of a caller that left in the middle of its transaction.
+    def test_transaction_of_a_caller_that_leaves_is_rolled_back(self):
+        session = self.session("newest")
+        session.run("BEGIN")
+        session.run("WRITE a lost")
+        session.close()
+        other = self.session("newest")
+        self.assertEqual(other.run("READ a").rows, ["None"])
+
+    # Guards against a transaction that holds its connection for ever.
+    def test_idle_transaction_is_ended_and_its_next_statement_refused(self):
+        session = self.session("newest")
+        session.run("BEGIN")
+        session.run("WRITE a one")
+        time.sleep(1.5)
+        answer = session.run("READ a")
+        self.assertEqual((answer.error, answer.state), ("ABORTED", "E"))
+        self.assertEqual(session.run("ROLLBACK").state, "I")
+        self.assertIsNone(session.run("READ a").error)
+
+    # Guards against input that ends an instance or reaches a server.
+    def test_bad_input_is_answered_and_sent_to_no_server(self):
+        session = self.session("newest")
+        for text in ("STATUS", "STEPDOWN 9", "AFTER 1.1 READ a", "WRITE a", "EXECUTE none x",
+                     "COMMIT", "CLOSE none"):
+            self.assertIn(session.run(text).error, ("MALFORMED", "UNKNOWN"), text)
+        self.assertEqual(self.platform.runs(), [])
+        self.assertEqual(self.session("no-such").greeting.split(" ")[1], "NODB")
+        self.assertEqual(self.session(key="no-key").greeting.split(" ")[1], "DENIED")
+        self.assertIsNone(session.run("READ a").error)
+
+
+class PrimaryTest(PlatformTest):
+    # Guards against a service without a primary, and against a second order with the same fence.
+    def test_lost_primary_is_replaced(self):
+        session = self.session("newest")
+        self.succeed(session, "WRITE a one")
+        self.platform.call(self.server("i-0").crash)
+        started = time.monotonic()
+        self.succeed(session, "WRITE a two")
+        self.assertLess(time.monotonic() - started, 6.0)
+        self.assertNotEqual(self.platform.database.leader.id, "i-0")
+        self.assertEqual(len(set(self.platform.fences)), len(self.platform.fences))
+
+    # Guards against a primary that is silent and not replaced.
+    def test_dark_primary_is_replaced(self):
+        session = self.session("newest")
+        self.succeed(session, "WRITE a one")
+        self.server("i-0").dark = True
+        self.succeed(session, "WRITE a two")
+        self.assertNotEqual(self.platform.database.leader.id, "i-0")
+
+    # Guards against a promise for a write whose answer was lost, and against its repetition.
+    def test_write_with_a_lost_answer_runs_once_and_promises_nothing(self):
+        session = self.session("newest")
+        self.succeed(session, "READ a")
+        self.server("i-0").lost_answers = 1
+        answer = session.run("WRITE a one")
+        self.assertIn(answer.error, ("TIMEOUT", "INDOUBT"))
+        writes = [run for _, run in self.platform.runs() if run[0] == session.last_id]
+        self.assertEqual(len(writes), 1)
+
+    # Guards against statements in a zone that is taken out, and against lost writes at the change.
+    def test_primary_of_an_evacuated_zone_hands_over(self):
+        session = self.session("newest")
+        self.succeed(session, "WRITE a one")
+        self.platform.call(self.platform.store.put, "evacuations", "zone-a", {})
+        self.wait(lambda: self.platform.database.leader not in (None, self.server("i-0")),
+                  "a primary elsewhere")
+        self.assertEqual(self.succeed(session, "READ a").rows, ["one"])
+        time.sleep(0.5)
+        before = len(self.server("i-0").ran)
+        for _ in range(10):
+            self.succeed(self.session("bounded"), "READ a")
+        self.assertEqual(len(self.server("i-0").ran), before)
+
+
+class ConfigurationTest(PlatformTest):
+    # Guards against a withdrawn key that goes on working on an open session.
+    def test_withdrawn_key_ends_open_sessions(self):
+        session = self.session("newest")
+        self.succeed(session, "READ a")
+        self.platform.keys["acme"] = ["other-key"]
+        self.platform.call(self.platform.publish)
+        self.wait(lambda: self.session(key="acme-key").greeting.startswith("ERROR DENIED"),
+                  "the refusal of the key")
+        self.assertEqual(session.run("READ a").error, "DENIED")
+
+    # Guards against an instance that stops to serve, or to follow, when the store is away.
+    def test_service_continues_without_the_store_and_follows_it_again(self):
+        session = self.session("own")
+        self.succeed(session, "WRITE a one")
+        self.platform.store.down = True
+        self.platform.call(self.notify)
+        for _ in range(10):
+            self.assertIsNone(session.run("READ a").error)
+            time.sleep(0.1)
+        self.platform.keys["acme"].append("new-key")
+        self.platform.store.down = False
+        self.platform.call(self.platform.publish)
+        self.wait(lambda: self.session(key="new-key").greeting.startswith("READY"), "the new key")
+
+    async def notify(self):
+        async with self.platform.store.changed:
+            self.platform.store.changed.notify_all()
+
+    # Guards against an instance that waits for changes which the store has forgotten.
+    def test_forgotten_history_is_listed_again(self):
+        self.platform.call(self.platform.store.forget_history)
+        self.platform.keys["acme"].append("new-key")
+        self.platform.call(self.platform.publish)
+        self.wait(lambda: self.session(key="new-key").greeting.startswith("READY"), "the new key")
+
+    # Guards against an unreadable entry that takes the servers out of use.
+    def test_unreadable_entries_are_skipped(self):
+        self.platform.call(self.platform.store.put, "servers", "odd", {"service": 7})
+        self.platform.call(self.platform.store.put, "servers", "odder", "text")
+        session = self.session("own")
+        self.succeed(session, "WRITE a one")
+        self.assertEqual(session.run("READ a").rows, ["one"])
+
+
+class RateTest(PlatformTest):
+    rate = 20
+    burst = 20
+
+    # Guards against an account that gets its rate once at each instance.
+    def test_rate_holds_over_all_instances(self):
+        seconds = 4.0
+        end = time.monotonic() + seconds
+
+        def hammer(index):
+            session = self.session("newest", index=index)
+            while time.monotonic() < end:
+                session.run("READ a")
+
+        threads = [threading.Thread(target=hammer, args=(index % 2,)) for index in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        ran = len(self.platform.runs())
+        tolerance = 20
+        self.assertLessEqual(ran, (self.rate * seconds + self.burst) * 1.1 + tolerance)
+        self.assertGreater(ran, self.rate * seconds / 2)
+
+
+class StopTest(PlatformTest):
+    # Guards against requests that a planned stop cuts off, and against an instance that stays.
+    def test_planned_stop_ends_open_work_and_leaves_in_time(self):
+        session = self.session("newest")
+        self.succeed(session, "READ a")
+        instance = self.instances[0]
+        session.run("BEGIN")
+        session.run("WRITE a one")
+        instance.terminate()
+        self.wait(lambda: not instance.ready(), "the refusal of the balancer")
+        self.assertIsNone(session.run("COMMIT").error)
+        self.assertEqual(instance.process.wait(timeout=STOP_GRACE_S + 2), 0)
+        log = instance.log()
+        self.assertIn("event=stop_requested", log)
+        self.assertIn("event=stop ", log)
+        self.assertNotIn("instance-0", self.platform.store.objects["oriole-instances"])
+
+    # Guards against a failed request whose cause cannot be found afterwards.
+    def test_every_statement_leaves_a_line_and_a_count(self):
+        session = self.session("own")
+        self.succeed(session, "WRITE a one")
+        request = session.last_id
+        self.wait(lambda: f"request={request} " in self.instances[0].log(), "the log line")
+        metrics = fetch_metrics(self.instances[0].admin_port)
+        self.assertIn('oriole_statements_total{outcome="ok"}', metrics)
+        self.assertIn("oriole_statement_latency_ms_count", metrics)
+
+
+if __name__ == "__main__":
+    unittest.main()
