Leave a quarter of a server's connections free; keep running on SIGHUP

Cause: after a loss of power the old connections stay at the servers for 3 s and the restarted instances were refused; SIGHUP ended the process.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -43,7 +43,7 @@
     : m_settings(settings),
       m_log(log),
       m_metrics(metrics),
-      m_signals(m_io, SIGTERM, SIGINT),
+      m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_own(make_own(settings)),
       m_knowledge(m_own, log),
       m_store(platform.make_store(m_io.get_executor())),
@@ -171,7 +171,12 @@
 }
 
 asio::awaitable<void> control_thread::wait_for_signals() {
-    const int signal = co_await m_signals.async_wait(asio::use_awaitable);
+    int signal = co_await m_signals.async_wait(asio::use_awaitable);
+    while (signal == SIGHUP) {
+        // The settings are names and addresses, which a running instance keeps.
+        m_log.write(log_entry("reload").add("outcome", "unchanged"));
+        signal = co_await m_signals.async_wait(asio::use_awaitable);
+    }
     m_log.write(log_entry("stop_requested").add("signal", signal));
     m_leaving = true;
     publish();
--- a/src/fleet/internal/connection_division.cpp
+++ b/src/fleet/internal/connection_division.cpp
@@ -5,8 +5,9 @@
 namespace oriole::fleet {
 namespace {
 
-/// Left free for connections that a closed or dead instance still occupies for a moment.
-constexpr int spare_connections = 1;
+/// One in so many of a server's connections is left free: those of machines that lost power stay for
+/// seconds, and what starts in their place needs some.
+constexpr int spare_part = 4;
 
 /// `total` divided over `parts`; the first parts get the remainder.
 int part_of(int total, int parts, int rank) {
@@ -35,7 +36,7 @@
                                 group.begin());
     };
     const int count = static_cast<int>(all.size());
-    const int available = std::max(max_connections - spare_connections, 1);
+    const int available = std::max(max_connections - max_connections / spare_part, 1);
     const int far = count - static_cast<int>(near.size());
     if (primary || near.empty() || available < far + static_cast<int>(near.size())) {
         return std::max(part_of(available, count, rank_in(all)), 1);
--- a/tests/process/users_platform_test.py
+++ b/tests/process/users_platform_test.py
@@ -1,5 +1,6 @@
 """The program on the users' platform: sessions, changes of primary, configuration, stops."""
 
+import signal
 import threading
 import time
 import unittest
@@ -211,6 +212,14 @@
         self.assertIn("event=stop ", log)
         self.assertNotIn("instance-0", self.platform.store.objects["oriole-instances"])
 
+    # Guards against a changed settings file that ends the instance.
+    def test_hangup_leaves_open_sessions(self):
+        session = self.session("newest")
+        self.succeed(session, "READ a")
+        self.instances[0].process.send_signal(signal.SIGHUP)
+        self.wait(lambda: "event=reload" in self.instances[0].log(), "the log line")
+        self.assertIsNone(session.run("READ a").error)
+
     # Guards against a failed request whose cause cannot be found afterwards.
     def test_every_statement_leaves_a_line_and_a_count(self):
         session = self.session("own")
