--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -54,7 +54,7 @@
                 }),
       m_changer(m_io.get_executor(), m_knowledge, *m_store, *m_authority, platform.connector(),
                 log, metrics, [this] { publish(); }),
-      m_peers(m_io.get_executor(), m_knowledge, settings.peers, log, [this] { publish(); }),
+      m_peers(m_io.get_executor(), m_knowledge, settings.peers, log),
       m_admin(links::make_http_admin_server(m_io.get_executor(), settings.admin, *this)) {}
 
 void control_thread::run() {
--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -47,6 +47,13 @@
                     .add("revision", revision)
                     .add("source", source)
                     .add("outcome", "in_force"));
+    auto keys = std::make_shared<fleet::key_index>();
+    for (const auto& account : config->accounts) {
+        for (const auto& key : account.keys) {
+            (*keys)[key] = account.name;
+        }
+    }
+    m_accounts_by_key = std::move(keys);
     m_config = std::move(config);
     m_known.configuration = revision;
 }
@@ -298,13 +305,11 @@
 fleet::fleet_view fleet_knowledge::make_view(clock::time_point now) const {
     fleet::fleet_view view;
     view.config = m_config;
+    view.accounts_by_key = m_accounts_by_key;
     if (m_config == nullptr) {
         return view;
     }
     for (const auto& account : m_config->accounts) {
-        for (const auto& key : account.keys) {
-            view.accounts_by_key[key] = account.name;
-        }
         if (m_instances_known) {
             view.shares[account.name] = m_division->share_of(account);
         }
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -127,6 +127,7 @@
     fleet::listed_instance m_own;
     decision_log& m_log;
     std::shared_ptr<const fleet::configuration> m_config;
+    std::shared_ptr<const fleet::key_index> m_accounts_by_key;
     known_revisions m_known;
     std::unique_ptr<fleet::server_directory> m_directory;
     std::vector<fleet::listed_server> m_servers;
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -29,12 +29,10 @@
 } // namespace
 
 peer_exchange::peer_exchange(asio::any_io_executor executor, fleet_knowledge& knowledge,
-                             const endpoint& listen, decision_log& log,
-                             std::function<void()> on_news)
+                             const endpoint& listen, decision_log& log)
     : m_executor(std::move(executor)),
       m_knowledge(knowledge),
       m_log(log),
-      m_on_news(std::move(on_news)),
       m_link(links::make_peer_link(m_executor, fleet_secret)),
       m_server(links::make_peer_server(m_executor, listen, fleet_secret)) {
     m_server->add_method(method, [this](std::string text) { return answer(std::move(text)); });
@@ -100,7 +98,6 @@
     }
     static_cast<void>(m_knowledge.take_report(report, asked, steady_clock().now()));
     set_reachable(peer.id, true, "answered");
-    m_on_news();
 }
 
 asio::awaitable<std::string> peer_exchange::answer(std::string text) {
@@ -109,7 +106,6 @@
     const bool taken = m_knowledge.take_report(question, std::nullopt, now);
     auto report = m_knowledge.report_for(question.demand.from, &question.known, now);
     report.confirmed = taken ? question.demand.number : 0;
-    m_on_news();
     co_return encode_report(report);
 }
 
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -9,7 +9,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -20,9 +19,8 @@
 /// and evidence that any of them has. Not thread-safe; runs on the control thread.
 class peer_exchange {
 public:
-    /// `on_news` is called after a report was taken over.
     peer_exchange(boost::asio::any_io_executor executor, fleet_knowledge& knowledge,
-                  const endpoint& listen, decision_log& log, std::function<void()> on_news);
+                  const endpoint& listen, decision_log& log);
 
     /// Asks the instances in turn until the executor ends.
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -47,7 +45,6 @@
     boost::asio::any_io_executor m_executor;
     fleet_knowledge& m_knowledge;
     decision_log& m_log;
-    std::function<void()> m_on_news;
     std::unique_ptr<links::peer_link> m_link;
     std::unique_ptr<links::peer_server> m_server;
     std::set<instance_id> m_asking;
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -47,14 +47,14 @@
 session_grant traffic_context::authorize(const std::string& database,
                                          const std::string& key) const {
     session_grant grant;
-    const auto owner = m_view->accounts_by_key.find(key);
-    if (owner != m_view->accounts_by_key.end()) {
-        grant.account = owner->second;
-    }
     if (m_view->config == nullptr) {
         grant.code = answer_code::busy;
         return grant;
     }
+    const auto owner = m_view->accounts_by_key->find(key);
+    if (owner != m_view->accounts_by_key->end()) {
+        grant.account = owner->second;
+    }
     const auto found = m_view->config->routes.find(database);
     if (found == m_view->config->routes.end()) {
         grant.code = answer_code::no_database;
--- a/src/fleet/types/fleet_view.h
+++ b/src/fleet/types/fleet_view.h
@@ -22,10 +22,13 @@
     friend bool operator==(const usable_server&, const usable_server&) = default;
 };
 
+/// The accounts of the keys.
+using key_index = std::unordered_map<std::string, account_name>;
+
 /// What the control thread believes, as the traffic thread acts on it. Immutable once published.
 struct fleet_view {
     std::shared_ptr<const configuration> config;
-    std::unordered_map<std::string, account_name> accounts_by_key;
+    std::shared_ptr<const key_index> accounts_by_key; ///< null without a configuration
     std::map<service_name, std::vector<usable_server>> servers;
     std::map<account_name, account_share> shares;
     bool ready = false; ///< a configuration and the servers are known
