--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -230,8 +230,11 @@
         m_peers.ask_all();
     }
     m_primary_failed = fails;
-    m_changer.start_due(now);
     update_isolation();
+    if (!m_isolated) {
+        // A cut-off instance sees healthy primaries fail.
+        m_changer.start_due(now);
+    }
     publish();
 }
 
