--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -47,7 +47,8 @@
 }
 
 void traffic_thread::start() {
-    m_listener->start([this](std::shared_ptr<caller_channel> channel) { serve(std::move(channel)); });
+    m_listener->start(
+        [this](std::shared_ptr<caller_channel> channel) { serve(std::move(channel)); });
     asio::co_spawn(m_io, report_regularly(), asio::detached);
     m_thread = std::thread([this] { m_io.run(); });
 }
--- a/src/entry/tests/server_pool_test.cpp
+++ b/src/entry/tests/server_pool_test.cpp
@@ -57,9 +57,9 @@
     auto first = acquire("a");
     auto second = acquire("a");
     std::optional<pool_grant> waited;
-    boost::asio::co_spawn(m_io,
-                          m_pool->acquire(account_name("a"), m_values, steady_clock().now() + 5s),
-                          [&](const std::exception_ptr&, pool_grant grant) { waited = std::move(grant); });
+    boost::asio::co_spawn(
+        m_io, m_pool->acquire(account_name("a"), m_values, steady_clock().now() + 5s),
+        [&](const std::exception_ptr&, pool_grant grant) { waited = std::move(grant); });
     m_io.restart();
     m_io.poll();
     ASSERT_FALSE(waited);
