--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -51,6 +51,11 @@
     friend bool operator==(const store_page&, const store_page&) = default;
 };
 
+enum class read_mode {
+    newest, ///< all that the store has acknowledged
+    cheap   ///< may be some seconds old, at a fraction of the price
+};
+
 /// The objects of one kind. Not thread-safe; used on the control thread.
 template <class Value>
 class store_kind {
@@ -58,7 +63,7 @@
     virtual ~store_kind() = default;
 
     /// All objects. Throws store_unavailable.
-    [[nodiscard]] virtual boost::asio::awaitable<store_page<Value>> list() = 0;
+    [[nodiscard]] virtual boost::asio::awaitable<store_page<Value>> list(read_mode mode) = 0;
 
     /// Waits for changes after `revision`, up to `wait`; none is an empty page. Throws
     /// store_unavailable and history_gone.
--- /dev/null
+++ b/src/entry/forward_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "entry/types/forwarded_statement.h"
+
+#include <string>
+
+namespace oriole::entry {
+
+/// The messages between an instance and a gateway as JSON. Decoders throw report_unreadable.
+/// Thread-safe.
+[[nodiscard]] std::string encode_forwarded(const forwarded_statement& forwarded);
+[[nodiscard]] forwarded_statement decode_forwarded(const std::string& text);
+
+[[nodiscard]] std::string encode_outcome(const forwarded_outcome& outcome);
+[[nodiscard]] forwarded_outcome decode_outcome(const std::string& text);
+
+} // namespace oriole::entry
--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -92,7 +92,7 @@
         m_context.log().write(log_entry("transaction_idle")
                                   .add("database", m_database)
                                   .add("account", m_account.str())
-                                  .add("server", m_transaction->pool->server().id.str())
+                                  .add("server", m_transaction->server().str())
                                   .add("outcome", "rolled_back"));
         abort_transaction();
     }
@@ -145,11 +145,14 @@
     run_outcome outcome;
     outcome.answer.code = run.decision.code;
     run.route = &m_route;
-    if (run.decision.starts_operation && !m_context.admit(m_account)) {
-        m_session.transaction_ended();
-        outcome.answer.code = answer_code::busy;
-        outcome.form = "rate";
-        co_return outcome;
+    if (run.decision.starts_operation) {
+        const bool admitted = co_await m_context.admit(m_account);
+        if (!admitted) {
+            m_session.transaction_ended();
+            outcome.answer.code = answer_code::busy;
+            outcome.form = "rate";
+            co_return outcome;
+        }
     }
     if (m_aborted && m_session.state() == transaction_state::open &&
         run.decision.step != session_step::abandon) {
@@ -173,8 +176,8 @@
         co_return co_await run_in_transaction(std::move(run));
     }
     const bool writes = run.decision.writes;
-    auto& service = m_context.service(m_route.service);
-    outcome = co_await m_runner.run_alone(service, std::move(run));
+    auto& executor = m_context.executor_for(m_route.service);
+    outcome = co_await executor.run_alone(std::move(run));
     if (writes && outcome.answer.code == answer_code::ok && outcome.answer.position) {
         m_session.committed(*outcome.answer.position);
     }
@@ -182,15 +185,15 @@
 }
 
 asio::awaitable<run_outcome> caller_service::run_in_transaction(statement_run run) {
-    auto& service = m_context.service(m_route.service);
     const bool commits = run.decision.step == session_step::finish;
-    const bool writes = run.decision.writes || (m_transaction != nullptr && m_transaction->wrote);
+    const bool writes = run.decision.writes || (m_transaction != nullptr && m_transaction->wrote());
     run_outcome outcome;
     if (m_transaction == nullptr) {
-        outcome = co_await m_runner.run_first(service, std::move(run), m_session.reads_only(),
-                                              m_transaction);
+        auto& executor = m_context.executor_for(m_route.service);
+        outcome =
+            co_await executor.run_first(std::move(run), m_session.reads_only(), m_transaction);
     } else {
-        outcome = co_await m_runner.run_next(service, std::move(run), *m_transaction);
+        outcome = co_await m_transaction->run_next(std::move(run));
         if (outcome.transaction_over) {
             m_transaction.reset();
         }
@@ -212,8 +215,10 @@
 }
 
 void caller_service::end_transaction() {
-    statement_runner::roll_back(std::move(m_transaction));
-    m_transaction = nullptr;
+    if (m_transaction != nullptr) {
+        m_transaction->roll_back();
+        m_transaction.reset();
+    }
 }
 
 void caller_service::note(const statement_run& run, const run_outcome& outcome) {
@@ -239,6 +244,9 @@
         .add("attempts", outcome.attempts)
         .add("outcome", to_string(outcome.answer.code))
         .add("us", std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+    if (!outcome.gateway.empty()) {
+        line.add("gateway", outcome.gateway.str());
+    }
     if (!outcome.server.empty()) {
         line.add("server", outcome.server.str());
     }
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -53,8 +53,7 @@
     account_name m_account;
     fleet::route m_route; ///< of the open transaction, or of the last operation
     sessions::caller_session m_session;
-    std::unique_ptr<open_transaction> m_transaction;
-    statement_runner m_runner;
+    std::unique_ptr<statement_transaction> m_transaction;
     bool m_running = false;
     bool m_aborted = false; ///< the open transaction was ended by this instance
 };
--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -20,8 +20,10 @@
 
 constexpr clock::duration flush_interval = 200ms;
 /// An entry that stays the same for three intervals is a dead instance's. Each call is priced.
-constexpr clock::duration registration_interval = 5s;
+constexpr clock::duration registration_interval = 10s;
 constexpr clock::duration registration_retry = 500ms;
+/// Least time between two lists of the instances; many instances come at once.
+constexpr clock::duration relist_interval = 900ms;
 /// The store's silence below this is a slow answer, not an outage after which entries return.
 constexpr clock::duration outage_after = 700ms;
 /// The entry is removed after the last session, within the grace.
@@ -32,6 +34,8 @@
     own.id = settings.instance;
     own.zone = settings.zone;
     own.peer_address = settings.peers;
+    own.gateway_address = settings.gateway;
+    own.capacity = settings.capacity;
     own.incarnation = make_random_source()->next() >> 1U;
     return own;
 }
@@ -85,7 +89,8 @@
                             typename store_follower<Value>::page_handler on_page) {
     auto follower = std::make_shared<store_follower<Value>>(
         m_io.get_executor(), kind, name, m_log, std::move(on_page),
-        [this](bool reachable) { on_store_health(reachable); });
+        [this](bool reachable) { on_store_health(reachable); },
+        [this] { return m_knowledge.watches_store(); });
     asio::co_spawn(
         m_io, [follower] { return follower->run(); },
         [follower](const std::exception_ptr& failure) {
@@ -127,7 +132,9 @@
 asio::awaitable<void> control_thread::keep_registered() {
     while (!m_leaving) {
         const bool registered = co_await register_once();
-        const bool listed = registered && co_await list_instances();
+        const bool first = !m_published.ready;
+        const bool listed =
+            registered && co_await list_instances(first ? read_mode::newest : read_mode::cheap);
         co_await pause(listed ? registration_interval : registration_retry);
     }
 }
@@ -144,12 +151,11 @@
     }
 }
 
-asio::awaitable<bool> control_thread::list_instances() {
+asio::awaitable<bool> control_thread::list_instances(read_mode mode) {
+    m_listed_at = steady_clock().now();
     try {
-        const auto page = co_await m_store->instances().list();
-        if (m_knowledge.take_instances(page, steady_clock().now())) {
-            m_peers.ask_all();
-        }
+        const auto page = co_await m_store->instances().list(mode);
+        m_knowledge.take_instances(page, steady_clock().now());
         publish();
         co_return true;
     } catch (const store_unavailable& failure) {
@@ -163,8 +169,9 @@
     while (true) {
         co_await pause(flush_interval);
         m_log.flush();
-        if (m_knowledge.take_unlisted()) {
-            co_await list_instances();
+        const bool may_list = steady_clock().now() - m_listed_at > relist_interval;
+        if (may_list && m_knowledge.take_unlisted()) {
+            co_await list_instances(read_mode::cheap);
         }
     }
 }
@@ -224,7 +231,7 @@
 
 void control_thread::on_traffic(const traffic_report& report) {
     const auto now = steady_clock().now();
-    m_knowledge.take_traffic(report, now);
+    m_knowledge.take_traffic(report);
     const bool fails = m_knowledge.primary_fails();
     if (fails && !m_primary_failed) {
         m_peers.ask_all();
@@ -239,13 +246,16 @@
 }
 
 void control_thread::update_isolation() {
-    const bool lost_zones = m_peers.lost_other_zones(m_own.zone);
+    const auto now = steady_clock().now();
     // Once isolated, the statements that would show that the primaries are back go elsewhere.
-    const bool isolated = lost_zones && (m_isolated || m_knowledge.most_primaries_fail());
+    const bool isolated = m_knowledge.zone_isolated(now).value_or(
+        m_peers.lost_other_zones(m_own.zone) &&
+        (m_isolated || m_knowledge.most_primaries_fail(now)));
     if (isolated == m_isolated) {
         return;
     }
     m_isolated = isolated;
+    m_knowledge.set_isolated(isolated);
     m_log.write(log_entry("isolation")
                     .add("zone", m_own.zone.str())
                     .add("outcome", isolated ? "isolated" : "connected"));
@@ -255,6 +265,9 @@
 void control_thread::publish() {
     const auto now = steady_clock().now();
     static_cast<void>(m_knowledge.advance(now));
+    if (m_knowledge.take_roles_changed()) {
+        m_peers.ask_all();
+    }
     for (const auto& [service, proof] : m_knowledge.take_proofs()) {
         m_traffic.learn(service, proof);
     }
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -44,7 +44,7 @@
     void start_followers();
     [[nodiscard]] boost::asio::awaitable<void> keep_registered();
     [[nodiscard]] boost::asio::awaitable<bool> register_once();
-    [[nodiscard]] boost::asio::awaitable<bool> list_instances();
+    [[nodiscard]] boost::asio::awaitable<bool> list_instances(read_mode mode);
     [[nodiscard]] boost::asio::awaitable<void> flush_log();
     [[nodiscard]] boost::asio::awaitable<void> wait_for_signals();
     [[nodiscard]] boost::asio::awaitable<void> leave();
@@ -69,6 +69,7 @@
     std::shared_ptr<links::admin_server> m_admin;
     fleet::fleet_view m_published;
     std::optional<clock::time_point> m_store_lost;
+    clock::time_point m_listed_at{}; ///< when the instances were listed last
     bool m_ready = false;
     bool m_leaving = false;
     bool m_primary_failed = false;
--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -2,7 +2,6 @@
 
 #include "entry/internal/fleet_knowledge.h"
 
-#include "contracts/contracts_module.h"
 #include "fleet/connection_division.h"
 
 #include <algorithm>
@@ -19,9 +18,9 @@
 constexpr clock::duration evidence_life = 1500ms;
 /// An instance whose entry has not changed for so long, while this one's has, is dead. Three
 /// intervals: the store may turn single instances away for a while.
-constexpr clock::duration silent_instance = 16s;
+constexpr clock::duration silent_instance = 32s;
 /// The same for one that has never been in touch with this instance: it left its entry behind.
-constexpr clock::duration silent_stranger = 8s;
+constexpr clock::duration silent_stranger = 16s;
 
 /// In the messages that carry it, the age of a missing time.
 clock::duration age(clock::time_point then, clock::time_point now) {
@@ -34,8 +33,9 @@
     : m_own(std::move(own)),
       m_log(log),
       m_directory(fleet::make_server_directory()),
-      m_division(fleet::make_share_division(m_own)),
-      m_demand(contracts::contracts_module::make_demand_meter()) {}
+      m_rates(m_own) {
+    update_roles();
+}
 
 void fleet_knowledge::take_configuration(std::shared_ptr<const fleet::configuration> config,
                                          std::uint64_t revision, std::string_view source) {
@@ -56,6 +56,7 @@
     m_accounts_by_key = std::move(keys);
     m_config = std::move(config);
     m_known.configuration = revision;
+    update_roles();
 }
 
 void fleet_knowledge::take_servers(const store_page<fleet::listed_server>& page, bool whole,
@@ -109,7 +110,7 @@
     m_known.evacuations = page.revision;
 }
 
-bool fleet_knowledge::take_instances(const store_page<fleet::listed_instance>& page,
+void fleet_knowledge::take_instances(const store_page<fleet::listed_instance>& page,
                                      clock::time_point now) {
     std::map<instance_id, seen_instance> next;
     for (const auto& object : page.objects) {
@@ -129,37 +130,36 @@
     }
     m_instances = std::move(next);
     m_instances_known = true;
-    return update_peers();
+    update_peers();
 }
 
-void fleet_knowledge::take_traffic(const traffic_report& report, clock::time_point now) {
+void fleet_knowledge::take_traffic(const traffic_report& report) {
     for (const auto& [service, seen] : report.services) {
         m_traffic[service] = seen;
         if (!seen.proved.empty()) {
             primary_of(service).proved(seen.proved, seen.proof.position);
         }
     }
-    for (const auto& [account, operations] : report.operations) {
-        m_demand->add(account, operations);
-    }
-    m_demand->advance(now);
-    std::map<account_name, double> demand;
-    if (m_config != nullptr) {
-        for (const auto& account : m_config->accounts) {
-            demand[account.name] = m_demand->needed(account.name);
-        }
-    }
-    m_division->set_demand(demand);
 }
 
-bool fleet_knowledge::take_report(const peer_report& report, std::optional<clock::time_point> asked,
+void fleet_knowledge::take_report(const peer_report& report, std::optional<clock::time_point> asked,
                                   clock::time_point now) {
-    const bool taken = m_division->take(report.demand);
-    m_heard.insert(report.demand.from);
+    take_released_loans(report);
+    if (asked) {
+        m_rates.borrowed(report.from, report.lent, *asked);
+    }
+    m_heard.insert(report.from);
     if (report.leaving) {
-        mark_ended(report.demand.from, report.demand.incarnation);
+        mark_ended(report.from, report.incarnation);
+    }
+    const auto sender = m_instances.find(report.from);
+    const bool listed =
+        sender != m_instances.end() && sender->second.listed.incarnation == report.incarnation;
+    m_unlisted = m_unlisted || !listed;
+    if (listed && sender->second.listed.zone == m_own.zone &&
+        fleet::holds(m_roles->watchers, report.from)) {
+        m_isolation_heard[report.from] = {report.isolated, now};
     }
-    m_unlisted = m_unlisted || !taken;
     take_configuration(report.configuration, report.known.configuration, "peer");
     if (report.servers && report.known.servers > m_known.servers) {
         store_page<fleet::listed_server> page;
@@ -178,7 +178,7 @@
         take_evacuations(page, true, now);
     }
     for (const auto& [service, seen] : report.services) {
-        take_evidence(report.demand.from, service, seen, now);
+        take_evidence(report.from, service, seen, now);
         if (seen.position) {
             primary_of(service).proved(seen.proved, *seen.position);
             if (asked) {
@@ -186,16 +186,22 @@
             }
         }
     }
-    return taken;
 }
 
-peer_report fleet_knowledge::report_for(const instance_id& peer, const known_revisions* peer_knows,
-                                        clock::time_point now) {
+peer_report fleet_knowledge::report_for(const known_revisions* peer_knows, clock::time_point now) {
     peer_report report;
-    report.demand = m_division->report_for(peer);
+    report.from = m_own.id;
+    report.incarnation = m_own.incarnation;
+    report.number = ++m_number;
+    report.wanted_loans = m_rates.kept_groups();
     report.known = m_known;
+    report.isolated = m_isolated;
     const auto boot_now = boot_clock().now();
     for (const auto& [service, seen] : m_traffic) {
+        const bool used = seen.evidence.answered || seen.evidence.failing_since;
+        if (!used && seen.proved.empty()) {
+            continue; // The service's statements go through another instance.
+        }
         peer_service_report& out = report.services[service];
         out.primary = seen.evidence.server;
         if (seen.evidence.answered) {
@@ -228,9 +234,20 @@
     return report;
 }
 
-bool fleet_knowledge::mark_ended(const instance_id& peer, std::uint64_t incarnation) {
+void fleet_knowledge::take_released_loans(const peer_report& report) {
+    auto& newest = m_numbers[report.from];
+    // A delayed report must not end a loan that was made after it.
+    if (newest.incarnation == report.incarnation && report.number <= newest.number) {
+        return;
+    }
+    newest = {report.incarnation, report.number};
+    m_rates.released(report.from, report.wanted_loans);
+}
+
+void fleet_knowledge::mark_ended(const instance_id& peer, std::uint64_t incarnation) {
     m_ended[peer] = incarnation;
-    return update_peers();
+    m_rates.released(peer, {});
+    update_peers();
 }
 
 std::vector<std::pair<service_name, fleet::primary_change>>
@@ -293,11 +310,43 @@
     });
 }
 
-bool fleet_knowledge::most_primaries_fail() const {
-    const auto failing = std::count_if(m_traffic.begin(), m_traffic.end(), [](const auto& item) {
-        return item.second.evidence.failing_since.has_value();
+bool fleet_knowledge::most_primaries_fail(clock::time_point now) const {
+    std::map<service_name, bool> failing;
+    const auto add = [&failing](const service_name& service,
+                                const fleet::primary_evidence& evidence) {
+        if (evidence.failing_since || evidence.answered) {
+            auto& fails = failing[service];
+            fails = fails || evidence.failing_since.has_value();
+        }
+    };
+    for (const auto& [service, seen] : m_traffic) {
+        add(service, seen.evidence);
+    }
+    for (const auto& [service, heard] : m_peer_evidence) {
+        for (const auto& [id, known] : heard) {
+            const auto peer = m_instances.find(id);
+            if (peer != m_instances.end() && peer->second.listed.zone == m_own.zone &&
+                now - known.heard < evidence_life) {
+                add(service, known.evidence);
+            }
+        }
+    }
+    const auto count =
+        std::count_if(failing.begin(), failing.end(), [](const auto& item) { return item.second; });
+    return count > 0 && 2 * static_cast<std::size_t>(count) >= failing.size();
+}
+
+std::optional<bool> fleet_knowledge::zone_isolated(clock::time_point now) const {
+    if (fleet::holds(m_roles->watchers, m_own.id)) {
+        return std::nullopt;
+    }
+    return std::any_of(m_isolation_heard.begin(), m_isolation_heard.end(), [now](const auto& item) {
+        return item.second.isolated && now - item.second.heard < evidence_life;
     });
-    return failing > 0 && 2 * static_cast<std::size_t>(failing) >= m_traffic.size();
+}
+
+bool fleet_knowledge::watches_store() const {
+    return m_config == nullptr || fleet::holds(m_roles->watchers, m_own.id);
 }
 
 fleet::fleet_view fleet_knowledge::make_view(clock::time_point now) const {
@@ -309,7 +358,7 @@
     }
     for (const auto& account : m_config->accounts) {
         if (m_instances_known) {
-            view.shares[account.name] = m_division->share_of(account);
+            view.shares[account.name] = m_rates.share_of(account, boot_clock().now());
         }
     }
     for (const auto& server : m_servers) {
@@ -317,6 +366,7 @@
             view.servers[server.service].push_back(std::move(*entry));
         }
     }
+    view.roles = m_roles;
     view.ready = m_instances_known && !view.servers.empty();
     return view;
 }
@@ -342,7 +392,7 @@
     }
 }
 
-bool fleet_knowledge::update_peers() {
+void fleet_knowledge::update_peers() {
     std::vector<fleet::listed_instance> live;
     for (const auto& [id, seen] : m_instances) {
         const auto limit = m_heard.contains(id) ? silent_instance : silent_stranger;
@@ -351,16 +401,27 @@
         const bool over = ended != m_ended.end() && ended->second == seen.listed.incarnation;
         if (id != m_own.id && !silent && !over) {
             live.push_back(seen.listed);
+            live.back().beats = 0; // They say only whether the instance lives.
         }
     }
-    const bool same =
-        std::equal(live.begin(), live.end(), m_peers.begin(), m_peers.end(),
-                   [](const auto& left, const auto& right) {
-                       return left.id == right.id && left.incarnation == right.incarnation;
-                   });
     m_peers = std::move(live);
-    m_division->set_peers(m_peers);
-    return !same;
+    update_roles();
+}
+
+void fleet_knowledge::update_roles() {
+    std::set<service_name> services;
+    if (m_config != nullptr) {
+        for (const auto& [service, limits] : m_config->services) {
+            services.insert(service);
+        }
+    }
+    auto roles = fleet::assign_roles(m_own, m_peers, services);
+    if (m_roles != nullptr && roles == *m_roles) {
+        return;
+    }
+    m_roles = std::make_shared<const fleet::role_assignment>(std::move(roles));
+    m_roles_changed = true;
+    m_rates.set_roles(*m_roles, m_peers.size() + 1, boot_clock().now());
 }
 
 void fleet_knowledge::take_evidence(const instance_id& from, const service_name& service,
@@ -401,7 +462,10 @@
             }
         }
     }
-    result.instances = instances();
+    const auto electors = m_roles->electors.find(service);
+    if (electors != m_roles->electors.end()) {
+        result.instances = electors->second;
+    }
     const auto holder = m_holders.find(service);
     if (holder != m_holders.end()) {
         result.last_holder = holder->second;
@@ -409,12 +473,6 @@
     return result;
 }
 
-std::vector<fleet::listed_instance> fleet_knowledge::instances() const {
-    auto all = m_peers;
-    all.push_back(m_own);
-    return all;
-}
-
 std::optional<fleet::usable_server> fleet_knowledge::usable(const fleet::listed_server& server,
                                                             clock::time_point now) const {
     const auto limits = m_config->services.find(server.service);
@@ -432,7 +490,7 @@
             since == m_leaving_since.end() || now - since->second < leaving_primary_use;
         entry.evacuated = !(entry.primary && fresh);
     }
-    entry.connections = fleet::connections_for(m_own, instances(), server, entry.primary,
+    entry.connections = fleet::connections_for(m_own, m_peers, server, entry.primary,
                                                limits->second.max_connections);
     return entry;
 }
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -4,12 +4,11 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
-#include "contracts/demand_meter.h"
 #include "entry/types/peer_report.h"
 #include "entry/types/traffic_report.h"
 #include "fleet/primary_watch.h"
+#include "fleet/rate_lending.h"
 #include "fleet/server_directory.h"
-#include "fleet/share_division.h"
 #include "fleet/types/fleet_view.h"
 
 #include <map>
@@ -35,32 +34,27 @@
 
     void take_evacuations(const store_page<evacuation>& page, bool whole, clock::time_point now);
 
-    /// Returns whether another instance has come, gone or started anew.
-    [[nodiscard]] bool take_instances(const store_page<fleet::listed_instance>& page,
-                                      clock::time_point now);
+    void take_instances(const store_page<fleet::listed_instance>& page, clock::time_point now);
 
     /// The store answered after an outage.
     void store_regained(clock::time_point now) { m_directory->store_regained(now); }
 
-    void take_traffic(const traffic_report& report, clock::time_point now);
+    void take_traffic(const traffic_report& report);
 
     /// Takes over what another instance tells. `asked` is the boot clock's time before it was
     /// asked; without it the report was unasked and its proofs prove nothing.
-    /// Returns whether its demand report may be confirmed.
-    [[nodiscard]] bool take_report(const peer_report& report,
-                                   std::optional<clock::time_point> asked, clock::time_point now);
+    void take_report(const peer_report& report, std::optional<clock::time_point> asked,
+                     clock::time_point now);
 
     /// What to tell another instance, with the objects that are newer than what it knows.
-    [[nodiscard]] peer_report report_for(const instance_id& peer, const known_revisions* peer_knows,
-                                         clock::time_point now);
+    [[nodiscard]] peer_report report_for(const known_revisions* peer_knows, clock::time_point now);
 
-    /// The process of that start has ended, so it spends nothing any more. Returns whether it was
-    /// among the peers.
-    bool mark_ended(const instance_id& peer, std::uint64_t incarnation);
+    /// The process of that start has ended, so it spends nothing any more.
+    void mark_ended(const instance_id& peer, std::uint64_t incarnation);
 
-    /// The peer has taken over the demand report of that number.
-    void confirm(const instance_id& peer, std::uint64_t number) {
-        m_division->confirm(peer, number);
+    /// A keeper asks for loans; the rate groups that it gets.
+    [[nodiscard]] std::set<int> lend(const peer_report& question, clock::time_point now) {
+        return m_rates.lend(question.from, question.wanted_loans, now);
     }
 
     /// Changes of primary that are due at this instance, by service.
@@ -83,6 +77,19 @@
         return m_peers;
     }
 
+    /// The instances with which this one exchanges reports.
+    [[nodiscard]] const std::vector<fleet::listed_instance>& partners() const noexcept {
+        return m_roles->partners;
+    }
+
+    /// Whether the instance has to be asked, not only heard.
+    [[nodiscard]] bool is_source(const instance_id& peer) const {
+        return m_roles->sources.contains(peer);
+    }
+
+    /// Whether this instance watches the store for its zone, or knows none that does.
+    [[nodiscard]] bool watches_store() const;
+
     [[nodiscard]] const instance_id& own() const noexcept { return m_own.id; }
 
     [[nodiscard]] account_name any_account() const;
@@ -90,11 +97,21 @@
     /// Whether a primary fails here, so that the others should be asked at once.
     [[nodiscard]] bool primary_fails() const;
 
-    /// Whether the primaries of at least half of the services fail here.
-    [[nodiscard]] bool most_primaries_fail() const;
+    /// Whether the primaries of at least half of the services that the zone uses fail in it.
+    [[nodiscard]] bool most_primaries_fail(clock::time_point now) const;
+
+    /// Whether the zone's watchers say that it is cut off; nullopt when this instance is one.
+    [[nodiscard]] std::optional<bool> zone_isolated(clock::time_point now) const;
+
+    /// What reports say of this instance's zone from now on.
+    void set_isolated(bool isolated) noexcept { m_isolated = isolated; }
 
     [[nodiscard]] fleet::fleet_view make_view(clock::time_point now) const;
 
+    /// Whether this instance's partners have changed since the last call, so that they should be
+    /// asked.
+    [[nodiscard]] bool take_roles_changed() { return std::exchange(m_roles_changed, false); }
+
     /// Whether an instance has reported that is not listed yet, so that the list is out of date.
     [[nodiscard]] bool take_unlisted() { return std::exchange(m_unlisted, false); }
 
@@ -109,18 +126,29 @@
         clock::time_point beat_at; ///< when its number of beats last grew
     };
 
+    struct report_number {
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;
+    };
+
+    struct isolation_report {
+        bool isolated = false;
+        clock::time_point heard;
+    };
+
     struct peer_evidence {
         fleet::primary_evidence evidence;
         clock::time_point heard;
     };
 
     void update_watches();
-    [[nodiscard]] bool update_peers();
+    void update_peers();
+    void update_roles();
+    void take_released_loans(const peer_report& report);
     void take_evidence(const instance_id& from, const service_name& service,
                        const peer_service_report& report, clock::time_point now);
     [[nodiscard]] fleet::primary_situation situation(const service_name& service,
                                                      clock::time_point now) const;
-    [[nodiscard]] std::vector<fleet::listed_instance> instances() const;
     [[nodiscard]] std::optional<fleet::usable_server> usable(const fleet::listed_server& server,
                                                              clock::time_point now) const;
 
@@ -136,8 +164,8 @@
     std::map<instance_id, seen_instance> m_instances;
     std::optional<clock::time_point> m_own_beat_at;
     std::vector<fleet::listed_instance> m_peers;
-    std::unique_ptr<fleet::share_division> m_division;
-    std::unique_ptr<contracts::demand_meter> m_demand;
+    std::shared_ptr<const fleet::role_assignment> m_roles;
+    fleet::rate_lending m_rates;
     std::map<service_name, std::unique_ptr<fleet::primary_watch>> m_watches;
     std::map<service_name, instance_id> m_holders;
     std::map<service_name, service_report> m_traffic;
@@ -145,6 +173,11 @@
     std::map<service_name, sessions::position_proof> m_learnt;
     std::map<instance_id, std::uint64_t> m_ended; ///< starts of instances that have ended
     std::set<instance_id> m_heard; ///< instances that have reported since this one started
+    std::map<instance_id, isolation_report> m_isolation_heard; ///< from the own zone
+    std::map<instance_id, report_number> m_numbers;            ///< of the newest report
+    std::uint64_t m_number = 0;                                ///< of this instance's last report
+    bool m_roles_changed = false;
+    bool m_isolated = false;
     bool m_unlisted = false;
     bool m_instances_known = false; ///< without them the parts of the rates are not known
 };
--- /dev/null
+++ b/src/entry/internal/forward_codec.cpp
@@ -0,0 +1,170 @@
+#include "entry/forward_codec.h"
+
+#include "entry/internal/json_fields.h"
+#include "entry/peer_report_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace oriole::entry {
+namespace {
+
+using nlohmann::json;
+
+json encode_position_or_null(const std::optional<machines::log_position>& position) {
+    return position ? encode_position(*position) : json();
+}
+
+std::optional<machines::log_position> decode_position_or_null(const json& in) {
+    return in.is_null() ? std::nullopt : std::optional(decode_position(in));
+}
+
+json encode_statement(const sessions::statement& value) {
+    return {{"id", encode_bytes(value.id)},
+            {"text", encode_bytes(value.text)},
+            {"kind", static_cast<int>(value.kind)},
+            {"name", encode_bytes(value.name)},
+            {"argument", encode_bytes(value.argument)},
+            {"shape", encode_bytes(value.shape)},
+            {"writes", value.writes}};
+}
+
+sessions::statement decode_statement(const json& in) {
+    sessions::statement value;
+    value.id = decode_bytes(in.at("id"));
+    value.text = decode_bytes(in.at("text"));
+    value.kind = decode_enum(in.at("kind"), sessions::statement_kind::malformed);
+    value.name = decode_bytes(in.at("name"));
+    value.argument = decode_bytes(in.at("argument"));
+    value.shape = decode_bytes(in.at("shape"));
+    value.writes = in.at("writes").get<bool>();
+    return value;
+}
+
+json encode_decision(const sessions::session_decision& value) {
+    json out{{"step", static_cast<int>(value.step)}, {"writes", value.writes}};
+    if (value.shape) {
+        out["shape"] = {encode_bytes(value.shape->shape), value.shape->writes};
+    }
+    return out;
+}
+
+sessions::session_decision decode_decision(const json& in) {
+    sessions::session_decision value;
+    value.step = decode_enum(in.at("step"), sessions::session_step::abandon);
+    value.writes = in.at("writes").get<bool>();
+    if (in.contains("shape")) {
+        const auto& shape = in.at("shape");
+        value.shape = sessions::prepared_shape{decode_bytes(shape.at(0)), shape.at(1).get<bool>()};
+    }
+    return value;
+}
+
+json encode_values(const sessions::session_values& values) {
+    json out = json::array();
+    for (const auto& [name, value] : values) {
+        out.push_back({encode_bytes(name), encode_bytes(value)});
+    }
+    return out;
+}
+
+sessions::session_values decode_values(const json& in) {
+    sessions::session_values values;
+    for (const auto& item : in) {
+        values[decode_bytes(item.at(0))] = decode_bytes(item.at(1));
+    }
+    return values;
+}
+
+json encode_rows(const std::vector<std::string>& rows) {
+    json out = json::array();
+    for (const auto& row : rows) {
+        out.push_back(encode_bytes(row));
+    }
+    return out;
+}
+
+json encode_answer(const sessions::server_answer& answer) {
+    return {{"code", static_cast<int>(answer.code)},
+            {"rows", encode_rows(answer.rows)},
+            {"signature", encode_bytes(answer.signature)},
+            {"state", static_cast<int>(answer.state)},
+            {"position", encode_position_or_null(answer.position)}};
+}
+
+sessions::server_answer decode_answer(const json& in) {
+    sessions::server_answer answer;
+    answer.code = decode_enum(in.at("code"), sessions::answer_code::malformed);
+    for (const auto& row : in.at("rows")) {
+        answer.rows.push_back(decode_bytes(row));
+    }
+    answer.signature = decode_bytes(in.at("signature"));
+    answer.state = decode_enum(in.at("state"), sessions::transaction_state::failed);
+    answer.position = decode_position_or_null(in.at("position"));
+    return answer;
+}
+
+} // namespace
+
+std::string encode_forwarded(const forwarded_statement& forwarded) {
+    const json out{{"place", static_cast<int>(forwarded.place)},
+                   {"reads_only", forwarded.reads_only},
+                   {"transaction", forwarded.transaction},
+                   {"route", encode_route(forwarded.route)},
+                   {"account", forwarded.account.str()},
+                   {"statement", encode_statement(forwarded.statement)},
+                   {"decision", encode_decision(forwarded.decision)},
+                   {"values", encode_values(forwarded.values)},
+                   {"own_commit", encode_position_or_null(forwarded.own_commit)},
+                   {"elapsed", encode_duration(forwarded.elapsed)}};
+    return out.dump();
+}
+
+forwarded_statement decode_forwarded(const std::string& text) {
+    try {
+        const auto in = json::parse(text);
+        forwarded_statement forwarded;
+        forwarded.place = decode_enum(in.at("place"), statement_place::next);
+        forwarded.reads_only = in.at("reads_only").get<bool>();
+        forwarded.transaction = in.at("transaction").get<std::uint64_t>();
+        forwarded.route = decode_route(in.at("route"));
+        forwarded.account = account_name(in.at("account").get<std::string>());
+        forwarded.statement = decode_statement(in.at("statement"));
+        forwarded.decision = decode_decision(in.at("decision"));
+        forwarded.values = decode_values(in.at("values"));
+        forwarded.own_commit = decode_position_or_null(in.at("own_commit"));
+        forwarded.elapsed = decode_duration(in.at("elapsed"));
+        return forwarded;
+    } catch (const json::exception& failure) {
+        throw report_unreadable(failure.what());
+    }
+}
+
+std::string encode_outcome(const forwarded_outcome& outcome) {
+    const json out{{"answer", encode_answer(outcome.answer)},
+                   {"server", outcome.server.str()},
+                   {"attempts", outcome.attempts},
+                   {"form", outcome.form},
+                   {"required", encode_position_or_null(outcome.required)},
+                   {"transaction", outcome.transaction},
+                   {"over", outcome.transaction_over}};
+    return out.dump();
+}
+
+forwarded_outcome decode_outcome(const std::string& text) {
+    try {
+        const auto in = json::parse(text);
+        forwarded_outcome outcome;
+        outcome.answer = decode_answer(in.at("answer"));
+        outcome.server = server_name(in.at("server").get<std::string>());
+        outcome.attempts = in.at("attempts").get<int>();
+        outcome.form = in.at("form").get<std::string>();
+        outcome.required = decode_position_or_null(in.at("required"));
+        outcome.transaction = in.at("transaction").get<std::uint64_t>();
+        outcome.transaction_over = in.at("over").get<bool>();
+        return outcome;
+    } catch (const json::exception& failure) {
+        throw report_unreadable(failure.what());
+    }
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/forwarding_executor.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "entry/internal/gateway_calls.h"
+#include "entry/internal/statement_executor.h"
+#include "fleet/types/listed_instance.h"
+
+#include <vector>
+
+namespace oriole::entry {
+
+/// Runs a service's statements at the zone's gateway, so that few instances share the service's
+/// connections; over own connections when this instance is the gateway or reaches none.
+/// Precondition: what is passed outlives the executor and its transactions.
+class forwarding_executor final : public statement_executor {
+public:
+    forwarding_executor(gateway_calls& calls, statement_executor& local)
+        : m_calls(calls), m_local(local) {}
+
+    /// The gateways that go before this instance, the preferred one first.
+    void set_gateways(std::vector<fleet::listed_instance> gateways) {
+        m_gateways = std::move(gateways);
+    }
+
+    [[nodiscard]] boost::asio::awaitable<run_outcome> run_alone(statement_run run) override;
+
+    [[nodiscard]] boost::asio::awaitable<run_outcome>
+    run_first(statement_run run, bool reads_only,
+              std::unique_ptr<statement_transaction>& transaction) override;
+
+private:
+    [[nodiscard]] std::vector<fleet::listed_instance> usable_gateways() const;
+
+    gateway_calls& m_calls;
+    statement_executor& m_local;
+    std::vector<fleet::listed_instance> m_gateways;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/gateway_link.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "entry/internal/gateway_calls.h"
+#include "links/peer_link.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace oriole::entry {
+
+/// Names of the calls between instances on the traffic threads.
+inline constexpr const char* run_method = "run";
+inline constexpr const char* roll_back_method = "roll_back";
+inline constexpr const char* admit_method = "admit";
+
+/// The instances of one deployment know each other by the addresses in the store; this keeps out
+/// what else may connect by mistake.
+[[nodiscard]] const links::peer_secret& fleet_secret();
+
+/// Calls other instances over TCP, and remembers which of them do not answer. Not thread-safe.
+class gateway_link final : public gateway_calls {
+public:
+    gateway_link(boost::asio::any_io_executor executor, decision_log& log);
+
+    [[nodiscard]] bool usable(const instance_id& instance, clock::time_point now) const override;
+
+    [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
+    run(fleet::listed_instance gateway, forwarded_statement forwarded,
+        clock::time_point deadline) override;
+
+    void roll_back(const fleet::listed_instance& gateway, std::uint64_t transaction) override;
+
+    [[nodiscard]] boost::asio::awaitable<int> admit(fleet::listed_instance keeper,
+                                                    account_name account, int operations) override;
+
+private:
+    struct health {
+        std::optional<clock::time_point> answered;
+        std::optional<clock::time_point> retry_at; ///< set while it counts as failed
+    };
+
+    [[nodiscard]] boost::asio::awaitable<std::string> call(fleet::listed_instance instance,
+                                                           std::string method, std::string params,
+                                                           clock::time_point deadline);
+    void failed(const fleet::listed_instance& instance, clock::time_point started,
+                const std::string& reason);
+    void answered(const fleet::listed_instance& instance);
+
+    boost::asio::any_io_executor m_executor;
+    decision_log& m_log;
+    std::unique_ptr<links::peer_link> m_link;
+    std::map<instance_id, health> m_health;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/gateway_service.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "entry/internal/statement_executor.h"
+#include "entry/internal/traffic_context.h"
+#include "entry/types/forwarded_statement.h"
+#include "links/peer_link.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace oriole::entry {
+
+/// Runs what other instances of the zone hand over, and holds their open transactions. Not
+/// thread-safe; runs on the traffic thread.
+class gateway_service {
+public:
+    /// Listens at once. Throws boost::system::system_error when the address is not available.
+    gateway_service(boost::asio::any_io_executor executor, const endpoint& listen,
+                    traffic_context& context);
+
+    /// Ends transactions whose instance does not go on with them, until the executor ends.
+    [[nodiscard]] boost::asio::awaitable<void> end_idle_transactions();
+
+    /// From now on only open transactions go on.
+    void leave() noexcept { m_leaving = true; }
+
+    /// Rolls the open transactions back that run no statement.
+    void abort_transactions();
+
+    /// Whether nothing runs here for another instance.
+    [[nodiscard]] bool idle() const noexcept { return m_running == 0 && m_transactions.empty(); }
+
+private:
+    struct held_transaction {
+        std::unique_ptr<statement_transaction> transaction;
+        clock::time_point used{};
+        bool running = false;
+    };
+
+    [[nodiscard]] boost::asio::awaitable<std::string> run(std::string params);
+    [[nodiscard]] boost::asio::awaitable<std::string> roll_back(std::string params);
+    [[nodiscard]] boost::asio::awaitable<std::string> admit(std::string params);
+    [[nodiscard]] boost::asio::awaitable<forwarded_outcome> execute(forwarded_statement forwarded);
+    [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
+    execute_next(forwarded_statement forwarded, statement_run run);
+    void note(const forwarded_statement& forwarded, const forwarded_outcome& outcome);
+
+    boost::asio::any_io_executor m_executor;
+    traffic_context& m_context;
+    std::unique_ptr<links::peer_server> m_server;
+    std::map<std::uint64_t, held_transaction> m_transactions;
+    std::uint64_t m_last_number = 0;
+    int m_running = 0;
+    bool m_leaving = false;
+};
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/local_executor.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "entry/internal/statement_executor.h"
+
+namespace oriole::entry {
+
+/// Runs statements over this instance's own connections. Precondition: the service outlives the
+/// executor and its transactions.
+class local_executor final : public statement_executor {
+public:
+    explicit local_executor(service_traffic& service) : m_service(service) {}
+
+    [[nodiscard]] boost::asio::awaitable<run_outcome> run_alone(statement_run run) override;
+
+    [[nodiscard]] boost::asio::awaitable<run_outcome>
+    run_first(statement_run run, bool reads_only,
+              std::unique_ptr<statement_transaction>& transaction) override;
+
+private:
+    service_traffic& m_service;
+    statement_runner m_runner;
+};
+
+} // namespace oriole::entry
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/internal/peer_exchange.h"
 
+#include "entry/internal/gateway_link.h"
 #include "entry/peer_report_codec.h"
 #include "links/backend_link.h"
 
@@ -21,10 +22,9 @@
 /// Every instance is asked once in this time: short against the bound on a new configuration,
 /// which an instance that the store turns away learns this way.
 constexpr clock::duration round = 1s;
+/// An instance that usually asks and has not for so long is asked.
+constexpr clock::duration silence_limit = 2500ms;
 constexpr clock::duration call_limit = 500ms;
-/// The instances of one deployment know each other by the addresses in the store; this keeps out
-/// what else may connect by mistake.
-const links::peer_secret fleet_secret{"oriolethread-fleet"};
 
 } // namespace
 
@@ -33,17 +33,20 @@
     : m_executor(std::move(executor)),
       m_knowledge(knowledge),
       m_log(log),
-      m_link(links::make_peer_link(m_executor, fleet_secret)),
-      m_server(links::make_peer_server(m_executor, listen, fleet_secret)) {
+      m_link(links::make_peer_link(m_executor, fleet_secret())),
+      m_server(links::make_peer_server(m_executor, listen, fleet_secret())) {
     m_server->add_method(method, [this](std::string text) { return answer(std::move(text)); });
 }
 
 asio::awaitable<void> peer_exchange::run() {
     asio::steady_timer timer(m_executor);
     while (true) {
-        const auto peers = m_knowledge.peers();
+        const auto peers = m_knowledge.partners();
         const auto gap = round / static_cast<int>(peers.size() + 1);
         for (const auto& peer : peers) {
+            if (!has_turn(peer, steady_clock().now())) {
+                continue;
+            }
             asio::co_spawn(m_executor, ask(peer), asio::detached);
             timer.expires_after(gap);
             boost::system::error_code ignored;
@@ -56,7 +59,7 @@
 }
 
 void peer_exchange::ask_all() {
-    for (const auto& peer : m_knowledge.peers()) {
+    for (const auto& peer : m_knowledge.partners()) {
         asio::co_spawn(m_executor, ask(peer), asio::detached);
     }
 }
@@ -75,9 +78,7 @@
         co_await exchange(peer);
     } catch (const links::peer_not_running& failure) {
         set_reachable(peer.id, false, failure.what());
-        if (m_knowledge.mark_ended(peer.id, peer.incarnation)) {
-            ask_all();
-        }
+        m_knowledge.mark_ended(peer.id, peer.incarnation);
     } catch (const error& failure) {
         set_reachable(peer.id, false, failure.what());
     }
@@ -87,31 +88,37 @@
 asio::awaitable<void> peer_exchange::exchange(const fleet::listed_instance& peer) {
     const auto started = steady_clock().now();
     const auto asked = boot_clock().now();
-    auto question = m_knowledge.report_for(peer.id, nullptr, started);
+    auto question = m_knowledge.report_for(nullptr, started);
     question.leaving = m_leaving;
     auto text = encode_report(question);
     const auto answered =
         co_await m_link->call(peer.peer_address, method, std::move(text), started + call_limit);
     const auto report = decode_report(answered);
-    if (report.confirmed == question.demand.number) {
-        m_knowledge.confirm(peer.id, report.confirmed);
-    }
-    static_cast<void>(m_knowledge.take_report(report, asked, steady_clock().now()));
+    m_knowledge.take_report(report, asked, steady_clock().now());
     set_reachable(peer.id, true, "answered");
 }
 
 asio::awaitable<std::string> peer_exchange::answer(std::string text) {
     const auto now = steady_clock().now();
     const auto question = decode_report(text);
-    const bool taken = m_knowledge.take_report(question, std::nullopt, now);
-    auto report = m_knowledge.report_for(question.demand.from, &question.known, now);
-    report.confirmed = taken ? question.demand.number : 0;
+    m_asked_by[question.from] = now;
+    m_knowledge.take_report(question, std::nullopt, now);
+    auto report = m_knowledge.report_for(&question.known, now);
+    report.lent = m_knowledge.lend(question, boot_clock().now());
     co_return encode_report(report);
 }
 
+bool peer_exchange::has_turn(const fleet::listed_instance& peer, clock::time_point now) const {
+    if (m_knowledge.is_source(peer.id) || m_knowledge.own() < peer.id) {
+        return true;
+    }
+    const auto asked = m_asked_by.find(peer.id);
+    return asked == m_asked_by.end() || now - asked->second > silence_limit;
+}
+
 bool peer_exchange::lost_other_zones(const zone_name& own_zone) const {
     bool some = false;
-    for (const auto& peer : m_knowledge.peers()) {
+    for (const auto& peer : m_knowledge.partners()) {
         if (peer.zone == own_zone) {
             continue;
         }
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -1,42 +1,26 @@
 #include "entry/peer_report_codec.h"
 
+#include "entry/internal/json_fields.h"
+
 #include <nlohmann/json.hpp>
 
 namespace oriole::entry {
 namespace {
 
 using nlohmann::json;
-using std::chrono::microseconds;
-
-json micros(clock::duration value) {
-    // Rounded up, so that an age never shrinks on the way.
-    return std::chrono::ceil<microseconds>(value).count();
-}
-
-clock::duration micros(const json& value) {
-    return microseconds(value.get<std::int64_t>());
-}
-
-json encode_position(const machines::log_position& position) {
-    return json::array({position.term(), position.offset()});
-}
-
-machines::log_position decode_position(const json& value) {
-    return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
-}
 
 json encode_service(const peer_service_report& report) {
     json out{{"primary", report.primary.str()}};
     if (report.answered) {
-        out["answered"] = micros(*report.answered);
+        out["answered"] = encode_duration(*report.answered);
     }
     if (report.failing) {
-        out["failing"] = micros(*report.failing);
+        out["failing"] = encode_duration(*report.failing);
     }
     if (report.position) {
         out["proved"] = report.proved.str();
         out["position"] = encode_position(*report.position);
-        out["age"] = micros(report.proof_age);
+        out["age"] = encode_duration(report.proof_age);
     }
     return out;
 }
@@ -45,15 +29,15 @@
     peer_service_report report;
     report.primary = server_name(in.at("primary").get<std::string>());
     if (in.contains("answered")) {
-        report.answered = micros(in.at("answered"));
+        report.answered = decode_duration(in.at("answered"));
     }
     if (in.contains("failing")) {
-        report.failing = micros(in.at("failing"));
+        report.failing = decode_duration(in.at("failing"));
     }
     if (in.contains("position")) {
         report.proved = server_name(in.at("proved").get<std::string>());
         report.position = decode_position(in.at("position"));
-        report.proof_age = micros(in.at("age"));
+        report.proof_age = decode_duration(in.at("age"));
     }
     return report;
 }
@@ -84,34 +68,8 @@
     return server;
 }
 
-json encode_route(const fleet::route& route) {
-    return {{"database", route.database},
-            {"service", route.service.str()},
-            {"policy", static_cast<int>(route.policy)},
-            {"timeout", micros(route.statement_timeout)},
-            {"target", micros(route.latency_target)},
-            {"age", micros(route.max_age)},
-            {"open", route.open_to_all}};
-}
-
-fleet::route decode_route(const json& in) {
-    fleet::route route;
-    route.database = in.at("database").get<std::string>();
-    route.service = service_name(in.at("service").get<std::string>());
-    const int policy = in.at("policy").get<int>();
-    if (policy < 0 || policy > static_cast<int>(fleet::read_policy::own_writes)) {
-        throw report_unreadable("a route's read policy is unknown");
-    }
-    route.policy = static_cast<fleet::read_policy>(policy);
-    route.statement_timeout = micros(in.at("timeout"));
-    route.latency_target = micros(in.at("target"));
-    route.max_age = micros(in.at("age"));
-    route.open_to_all = in.at("open").get<bool>();
-    return route;
-}
-
 json encode_configuration(const fleet::configuration& value) {
-    json out{{"version", value.version}, {"idle", micros(value.transaction_idle)}};
+    json out{{"version", value.version}, {"idle", encode_duration(value.transaction_idle)}};
     out["routes"] = json::array();
     for (const auto& [database, route] : value.routes) {
         out["routes"].push_back(encode_route(route));
@@ -133,7 +91,7 @@
 fleet::configuration decode_configuration(const json& in) {
     fleet::configuration value;
     value.version = in.at("version").get<std::int64_t>();
-    value.transaction_idle = micros(in.at("idle"));
+    value.transaction_idle = decode_duration(in.at("idle"));
     for (const auto& item : in.at("routes")) {
         auto route = decode_route(item);
         const auto database = route.database;
@@ -150,33 +108,15 @@
     return value;
 }
 
-json encode_demand(const fleet::demand_report& report) {
-    json demand = json::object();
-    for (const auto& [account, value] : report.demand) {
-        demand[account.str()] = value;
-    }
-    return {{"from", report.from.str()},
-            {"incarnation", report.incarnation},
-            {"number", report.number},
-            {"accounts", std::move(demand)}};
-}
-
-fleet::demand_report decode_demand(const json& in) {
-    fleet::demand_report report;
+peer_report decode(const json& in) {
+    peer_report report;
     report.from = instance_id(in.at("from").get<std::string>());
     report.incarnation = in.at("incarnation").get<std::uint64_t>();
     report.number = in.at("number").get<std::uint64_t>();
-    for (const auto& [account, value] : in.at("accounts").items()) {
-        report.demand[account_name(account)] = value.get<double>();
-    }
-    return report;
-}
-
-peer_report decode(const json& in) {
-    peer_report report;
-    report.demand = decode_demand(in.at("demand"));
+    report.wanted_loans = in.at("wanted_loans").get<std::set<int>>();
+    report.lent = in.at("lent").get<std::set<int>>();
     report.leaving = in.at("leaving").get<bool>();
-    report.confirmed = in.at("confirmed").get<std::uint64_t>();
+    report.isolated = in.at("isolated").get<bool>();
     const auto& known = in.at("known");
     report.known = {known.at(0).get<std::uint64_t>(), known.at(1).get<std::uint64_t>(),
                     known.at(2).get<std::uint64_t>()};
@@ -206,9 +146,13 @@
 
 std::string encode_report(const peer_report& report) {
     json out{
-        {"demand", encode_demand(report.demand)},
-        {"confirmed", report.confirmed},
+        {"from", report.from.str()},
+        {"incarnation", report.incarnation},
+        {"number", report.number},
+        {"wanted_loans", report.wanted_loans},
+        {"lent", report.lent},
         {"leaving", report.leaving},
+        {"isolated", report.isolated},
         {"known", {report.known.configuration, report.known.servers, report.known.evacuations}}};
     out["services"] = json::object();
     for (const auto& [name, service] : report.services) {
--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -33,6 +33,7 @@
             if (plan.opening) {
                 first.push_back(*plan.opening);
             }
+            m_connection.alignment.sent(first);
             std::vector<server_order> rest{plan.statement};
             if (plan.rolls_back) {
                 rest.push_back(rollback_order());
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -24,6 +24,8 @@
 constexpr clock::duration notice_after = 150ms;
 /// A server that failed is tried by one statement in this time.
 constexpr clock::duration retry_interval = 300ms;
+/// An instance that serves only its own callers keeps a connection this long.
+constexpr clock::duration unused_limit = 100ms;
 /// For answers that nobody waits for any more.
 constexpr clock::duration drain_limit = 2s;
 /// Pause before the next new connection to a server that takes no more; connections of machines
@@ -88,6 +90,7 @@
         return;
     }
     if (m_waiters.empty()) {
+        connection->idle_since = steady_clock().now();
         m_idle.push_front(std::move(connection));
         return;
     }
@@ -121,7 +124,8 @@
                 last = co_await held->channel->receive(drain_limit);
             }
             self->mark_answered(*held, steady_clock().now());
-            if (last.state == sessions::transaction_state::none) {
+            // Values whose acknowledgement was not read here may be another session's.
+            if (last.state == sessions::transaction_state::none && held->alignment.settled()) {
                 self->release(std::move(held));
                 co_return;
             }
@@ -191,6 +195,14 @@
            !m_idle.empty();
 }
 
+void server_pool::close_unused(clock::time_point now) {
+    while (!m_idle.empty() && now - m_idle.back()->idle_since > unused_limit) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        forget(*connection);
+    }
+}
+
 void server_pool::close() {
     while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back());
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -27,6 +27,7 @@
     sessions::connection_alignment alignment;
     std::multiset<clock::time_point>::iterator waiting_since; ///< set while answers are due
     bool waiting = false;
+    clock::time_point idle_since{};
 };
 
 /// A connection, or why there is none.
@@ -91,6 +92,9 @@
 
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiters.size(); }
 
+    /// Closes connections that have been idle for a moment, since other instances need them.
+    void close_unused(clock::time_point now);
+
     /// Closes the idle connections and refuses those who wait.
     void close();
 
--- a/src/entry/internal/service_traffic.cpp
+++ b/src/entry/internal/service_traffic.cpp
@@ -16,6 +16,9 @@
 /// How long a server that lacked a position is passed over for it and later ones.
 constexpr clock::duration lag_memory = 150ms;
 
+/// An instance that others used as a gateway within this time is likely to be used again.
+constexpr clock::duration gateway_memory = 2s;
+
 /// Weights of what makes a server a worse choice for a read; larger ones outweigh smaller ones.
 constexpr int other_zone = 1;
 constexpr int leads = 1;
@@ -44,7 +47,7 @@
         auto pool =
             same ? known->second : std::make_shared<server_pool>(m_executor, m_connector, listed);
         pool->set_server(listed);
-        pool->set_limit(server.connections);
+        m_allotments[listed.id] = server.connections;
         next[listed.id] = std::move(pool);
         if (server.primary) {
             listed_primary = listed.id;
@@ -55,9 +58,13 @@
         if (kept == next.end() || kept->second != pool) {
             pool->close();
             m_progress.erase(id);
+            if (kept == next.end()) {
+                m_allotments.erase(id);
+            }
         }
     }
     m_pools = std::move(next);
+    adjust_limits(steady_clock().now());
     const auto found = m_pools.find(listed_primary);
     const auto primary = found == m_pools.end() ? nullptr : found->second;
     if (primary != m_primary) {
@@ -67,6 +74,18 @@
     }
 }
 
+void service_traffic::adjust_limits(clock::time_point now) {
+    const bool works_for_others =
+        m_gateway || (m_used_as_gateway && now - *m_used_as_gateway < gateway_memory);
+    for (const auto& [id, pool] : m_pools) {
+        const auto& allotment = m_allotments.at(id);
+        pool->set_limit(works_for_others ? allotment.as_gateway : allotment.alone);
+        if (!works_for_others) {
+            pool->close_unused(now);
+        }
+    }
+}
+
 std::vector<pool_ptr> service_traffic::readers(const machines::log_position& position,
                                                const account_name& account,
                                                clock::time_point now) const {
--- a/src/entry/internal/service_traffic.h
+++ b/src/entry/internal/service_traffic.h
@@ -30,6 +30,15 @@
     /// Takes over the servers that may be used; connections to others are closed.
     void apply(const std::vector<fleet::usable_server>& servers);
 
+    /// Whether the zone's statements usually go through this instance.
+    void set_gateway(bool gateway) { m_gateway = gateway; }
+
+    /// Another instance has handed over a statement.
+    void used_as_gateway(clock::time_point now) { m_used_as_gateway = now; }
+
+    /// Sets the pools' limits by whether this instance works for others now.
+    void adjust_limits(clock::time_point now);
+
     /// The server that leads, if one is known and may be used.
     [[nodiscard]] pool_ptr primary() const { return m_primary; }
 
@@ -78,6 +87,9 @@
     server_connector& m_connector;
     zone_name m_own_zone;
     std::map<server_name, pool_ptr> m_pools;
+    std::map<server_name, fleet::connection_allotment> m_allotments;
+    bool m_gateway = true;
+    std::optional<clock::time_point> m_used_as_gateway;
     std::map<server_name, replica_progress> m_progress;
     pool_ptr m_primary;
     std::optional<clock::time_point> m_not_leading_since;
--- a/src/entry/internal/statement_runner.h
+++ b/src/entry/internal/statement_runner.h
@@ -40,9 +40,10 @@
     sessions::server_answer answer;
     server_name server;
     int attempts = 0;
-    std::string_view form = "none"; ///< which proof let the server run it
+    std::string form = "none"; ///< which proof let the server run it
     std::optional<machines::log_position> required;
     bool transaction_over = false; ///< the open transaction is gone
+    instance_id gateway;           ///< that ran it for this instance; empty when it ran here
 };
 
 /// Runs statements at servers so that each sees what its route promises, and answers truthfully
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -4,6 +4,8 @@
 
 #include "contracts/contracts_module.h"
 
+#include <algorithm>
+
 namespace oriole::entry {
 namespace {
 
@@ -11,36 +13,47 @@
 /// process was started again.
 constexpr clock::duration unused_before_start = std::chrono::milliseconds(500);
 
+/// What a keeper admits beyond the operation that asks is spent or lost within this time.
+constexpr clock::duration ahead_limit = std::chrono::milliseconds(100);
+/// An account that sends much is asked for in batches, as many as came in the last report interval.
+constexpr int most_admitted_ahead = 64;
+
+const std::vector<fleet::listed_instance> no_instances;
+
 } // namespace
 
 using sessions::answer_code;
 
 traffic_context::traffic_context(boost::asio::any_io_executor executor, server_connector& connector,
-                                 zone_name own_zone, decision_log& log, metric_registry& metrics)
+                                 const entry_settings& settings, decision_log& log,
+                                 metric_registry& metrics)
     : m_executor(std::move(executor)),
       m_connector(connector),
-      m_own_zone(std::move(own_zone)),
+      m_own(settings.instance),
+      m_own_zone(settings.zone),
       m_log(log),
       m_metrics(metrics),
       m_statement_latency(metrics, "oriole_statement_latency"),
       m_view(std::make_shared<const fleet::fleet_view>()),
+      m_link(m_executor, log),
       m_limiter(contracts::contracts_module::make_rate_limiter()) {}
 
 void traffic_context::apply(std::shared_ptr<const fleet::fleet_view> view) {
     m_view = std::move(view);
     for (const auto& [name, servers] : m_view->servers) {
-        service(name).apply(servers);
+        service(name).traffic.apply(servers);
     }
     for (auto& [name, known] : m_services) {
         if (!m_view->servers.contains(name)) {
-            known->apply({});
+            known->traffic.apply({});
         }
     }
+    apply_roles();
     apply_rates();
 }
 
 void traffic_context::learn(const service_name& name, const sessions::position_proof& proof) {
-    service(name).learn(proof);
+    service(name).traffic.learn(proof);
 }
 
 session_grant traffic_context::authorize(const std::string& database,
@@ -67,29 +80,124 @@
     return grant;
 }
 
-bool traffic_context::admit(const account_name& account) {
+boost::asio::awaitable<bool> traffic_context::admit(account_name account) {
     if (account.empty()) {
-        return true; // Rates are an account's; a database open to all has callers without one.
+        co_return true; // Rates are an account's; a database open to all has callers without one.
+    }
+    const auto now = steady_clock().now();
+    auto& ahead = m_ahead[account];
+    ++ahead.lately;
+    if (ahead.left > 0 && ahead.until > now) {
+        --ahead.left;
+        co_return true;
     }
-    m_operations[account] += 1;
-    return m_limiter->try_spend(account, 1, steady_clock().now()).is_admitted();
+    const int wanted = std::clamp(ahead.before, 1, most_admitted_ahead);
+    const auto roles = m_view->roles;
+    const auto group = static_cast<std::size_t>(fleet::rate_group_of(account));
+    for (const auto& keeper : roles == nullptr ? no_instances : roles->rates.at(group).order) {
+        if (keeper.id == m_own) {
+            break;
+        }
+        if (!m_link.usable(keeper.id, steady_clock().now())) {
+            continue;
+        }
+        std::string failure;
+        try {
+            const int admitted = co_await m_link.admit(keeper, account, wanted);
+            if (admitted > 1) {
+                auto& known = m_ahead[account];
+                known.left = admitted - 1;
+                known.until = steady_clock().now() + ahead_limit;
+            }
+            co_return admitted > 0;
+        } catch (const gateway_refused& refused) {
+            failure = refused.what();
+        } catch (const gateway_silent& silent) {
+            failure = silent.what();
+        }
+        m_log.write(log_entry("rate_keeper")
+                        .add("instance", keeper.id.str())
+                        .add("account", account.str())
+                        .add("outcome", "no_answer")
+                        .add("reason", failure));
+    }
+    co_return admit_here(account, 1) > 0;
 }
 
-service_traffic& traffic_context::service(const service_name& name) {
+bool traffic_context::has_part_of(const account_name& account) const {
+    if (m_view->roles == nullptr) {
+        return false;
+    }
+    const auto group = static_cast<std::size_t>(fleet::rate_group_of(account));
+    const auto share = m_shares.find(account);
+    return fleet::holds(m_view->roles->rates.at(group).order, m_own) && share != m_shares.end() &&
+           share->second.operations_per_s > 0;
+}
+
+int traffic_context::admit_here(const account_name& account, int operations) {
+    const auto now = steady_clock().now();
+    for (const int amount : {operations, 1}) {
+        if (m_limiter->try_spend(account, amount, now).is_admitted()) {
+            return amount;
+        }
+    }
+    const auto share = m_shares.find(account);
+    log_entry line("rate_refused");
+    line.add("account", account.str());
+    if (share != m_shares.end()) {
+        line.add("share_per_s", share->second.operations_per_s).add("burst", share->second.burst);
+    }
+    m_log.write(line);
+    return 0;
+}
+
+statement_executor& traffic_context::executor_for(const service_name& name) {
+    return service(name).forwarding;
+}
+
+statement_executor& traffic_context::gateway_for(const service_name& name) {
+    auto& known = service(name);
+    known.traffic.used_as_gateway(steady_clock().now());
+    return known.local;
+}
+
+traffic_context::service_entry::service_entry(traffic_context& context)
+    : traffic(context.m_executor, context.m_connector, context.m_own_zone),
+      local(traffic),
+      forwarding(context.m_link, local) {}
+
+traffic_context::service_entry& traffic_context::service(const service_name& name) {
     auto& known = m_services[name];
     if (known == nullptr) {
-        known = std::make_unique<service_traffic>(m_executor, m_connector, m_own_zone);
+        known = std::make_unique<service_entry>(*this);
     }
     return *known;
 }
 
+void traffic_context::apply_roles() {
+    if (m_view->roles == nullptr) {
+        return;
+    }
+    for (const auto& [name, ranked] : m_view->roles->gateways) {
+        const auto own = std::find_if(ranked.begin(), ranked.end(), [this](const auto& instance) {
+            return instance.id == m_own;
+        });
+        auto& known = service(name);
+        known.traffic.set_gateway(own == ranked.begin());
+        known.forwarding.set_gateways({ranked.begin(), own});
+    }
+}
+
 traffic_report traffic_context::take_report() {
     traffic_report report;
     const auto now = steady_clock().now();
     for (const auto& [name, known] : m_services) {
-        report.services[name] = known->report(now);
+        known->traffic.adjust_limits(now);
+        report.services[name] = known->traffic.report(now);
+    }
+    for (auto& [account, ahead] : m_ahead) {
+        ahead.before = std::exchange(ahead.lately, 0);
     }
-    report.operations = std::exchange(m_operations, {});
     return report;
 }
 
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -6,7 +6,11 @@
 #include "base/latency_histogram.h"
 #include "base/metric_registry.h"
 #include "contracts/rate_limiter.h"
+#include "entry/internal/forwarding_executor.h"
+#include "entry/internal/gateway_link.h"
+#include "entry/internal/local_executor.h"
 #include "entry/internal/service_traffic.h"
+#include "entry/types/entry_settings.h"
 #include "entry/types/traffic_report.h"
 #include "fleet/types/fleet_view.h"
 
@@ -29,7 +33,7 @@
 class traffic_context {
 public:
     traffic_context(boost::asio::any_io_executor executor, server_connector& connector,
-                    zone_name own_zone, decision_log& log, metric_registry& metrics);
+                    const entry_settings& settings, decision_log& log, metric_registry& metrics);
 
     void apply(std::shared_ptr<const fleet::fleet_view> view);
 
@@ -40,10 +44,21 @@
     [[nodiscard]] session_grant authorize(const std::string& database,
                                           const std::string& key) const;
 
-    /// Counts an operation of the account and tells whether it is within its rate.
-    [[nodiscard]] bool admit(const account_name& account);
+    /// Whether an operation of the account is within its rate. A keeper of the zone decides, this
+    /// instance by its reserve when it reaches none.
+    [[nodiscard]] boost::asio::awaitable<bool> admit(account_name account);
 
-    [[nodiscard]] service_traffic& service(const service_name& name);
+    /// Whether this instance has a part of the account's rate to spend for others.
+    [[nodiscard]] bool has_part_of(const account_name& account) const;
+
+    /// How many of the operations are within this instance's part of the account's rate.
+    [[nodiscard]] int admit_here(const account_name& account, int operations);
+
+    /// Runs the statements of this instance's callers.
+    [[nodiscard]] statement_executor& executor_for(const service_name& name);
+
+    /// Runs statements that other instances hand over.
+    [[nodiscard]] statement_executor& gateway_for(const service_name& name);
 
     /// What happened since the last call.
     [[nodiscard]] traffic_report take_report();
@@ -57,19 +72,40 @@
     [[nodiscard]] latency_histogram& statement_latency() noexcept { return m_statement_latency; }
 
 private:
+    /// Operations that a keeper has admitted and that have not come yet, and how many came lately.
+    struct admitted_ahead {
+        int left = 0;
+        clock::time_point until{};
+        int lately = 0; ///< since the last report
+        int before = 0; ///< in the time before
+    };
+
+    /// One service and the ways to run its statements.
+    struct service_entry {
+        explicit service_entry(traffic_context& context);
+
+        service_traffic traffic;
+        local_executor local;
+        forwarding_executor forwarding;
+    };
+
+    [[nodiscard]] service_entry& service(const service_name& name);
+    void apply_roles();
     void apply_rates();
 
     boost::asio::any_io_executor m_executor;
     server_connector& m_connector;
+    instance_id m_own;
     zone_name m_own_zone;
     decision_log& m_log;
     metric_registry& m_metrics;
     latency_histogram m_statement_latency;
     std::shared_ptr<const fleet::fleet_view> m_view;
-    std::map<service_name, std::unique_ptr<service_traffic>> m_services;
+    gateway_link m_link;
+    std::map<service_name, std::unique_ptr<service_entry>> m_services;
     std::unique_ptr<contracts::rate_limiter> m_limiter;
     std::map<account_name, fleet::account_share> m_shares;
-    std::map<account_name, double> m_operations;
+    std::map<account_name, admitted_ahead> m_ahead;
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -34,7 +34,8 @@
                                report_handler on_report)
     : m_settings(settings),
       m_work(m_io.get_executor()),
-      m_context(m_io.get_executor(), platform.connector(), settings.zone, log, metrics),
+      m_context(m_io.get_executor(), platform.connector(), settings, log, metrics),
+      m_gateway(m_io.get_executor(), settings.gateway, m_context),
       m_listener(platform.make_listener(m_io.get_executor(), settings.callers)),
       m_on_report(std::move(on_report)),
       m_open_sessions(metrics.get("oriole_open_sessions")) {}
@@ -50,6 +51,7 @@
     m_listener->start(
         [this](std::shared_ptr<caller_channel> channel) { serve(std::move(channel)); });
     asio::co_spawn(m_io, report_regularly(), asio::detached);
+    asio::co_spawn(m_io, m_gateway.end_idle_transactions(), asio::detached);
     m_thread = std::thread([this] { m_io.run(); });
 }
 
@@ -101,18 +103,20 @@
 
 asio::awaitable<void> traffic_thread::close_sessions(std::function<void()> on_end) {
     const auto started = steady_clock().now();
+    m_gateway.leave();
     co_await pause(balancer_delay);
     const std::size_t group = open_sessions().size() / close_groups + 1;
     while (true) {
         const auto spent = steady_clock().now() - started;
         const auto sessions = open_sessions();
-        if (sessions.empty() || spent > m_settings.stop_grace - last_part) {
+        if ((sessions.empty() && m_gateway.idle()) || spent > m_settings.stop_grace - last_part) {
             break;
         }
         if (spent > m_settings.stop_grace / 2) {
             for (const auto& session : sessions) {
                 session->abort_transaction();
             }
+            m_gateway.abort_transactions();
         }
         close_idle(group);
         co_await pause(close_interval);
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -4,6 +4,7 @@
 
 #include "entry/entry_instance.h"
 #include "entry/internal/caller_service.h"
+#include "entry/internal/gateway_service.h"
 #include "entry/internal/traffic_context.h"
 #include "entry/types/entry_settings.h"
 
@@ -59,6 +60,7 @@
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     traffic_context m_context;
+    gateway_service m_gateway;
     std::unique_ptr<caller_listener> m_listener;
     report_handler m_on_report;
     session_list m_sessions;
--- a/src/entry/tests/fleet_knowledge_test.cpp
+++ b/src/entry/tests/fleet_knowledge_test.cpp
@@ -108,13 +108,13 @@
 // Guards against a proof that counts from when it arrived instead of when it was asked for.
 TEST_F(fleet_knowledge_test, learnt_proof_is_as_old_as_the_question_and_its_age) {
     peer_report report;
-    report.demand.from = instance_id("peer");
+    report.from = instance_id("peer");
     peer_service_report service;
     service.proved = server_name("a");
     service.position = machines::log_position(1, 4);
     service.proof_age = 300ms;
     report.services[service_name("db")] = service;
-    static_cast<void>(m_knowledge.take_report(report, at(10s), at(11s)));
+    m_knowledge.take_report(report, at(10s), at(11s));
     const auto proofs = m_knowledge.take_proofs();
     ASSERT_TRUE(proofs.contains(service_name("db")));
     EXPECT_EQ(proofs.at(service_name("db")).asked, at(9700ms));
@@ -127,7 +127,7 @@
     service.proved = server_name("a");
     service.position = machines::log_position(1, 4);
     report.services[service_name("db")] = service;
-    static_cast<void>(m_knowledge.take_report(report, std::nullopt, at(11s)));
+    m_knowledge.take_report(report, std::nullopt, at(11s));
     EXPECT_TRUE(m_knowledge.take_proofs().empty());
 }
 
--- a/src/entry/tests/peer_report_codec_test.cpp
+++ b/src/entry/tests/peer_report_codec_test.cpp
@@ -11,8 +11,11 @@
 protected:
     static peer_report make() {
         peer_report report;
-        report.demand = {instance_id("i"), 7, 3, {{account_name("t"), 1.5}}};
-        report.confirmed = 2;
+        report.from = instance_id("i");
+        report.incarnation = 7;
+        report.wanted_loans = {1, 4};
+        report.lent = {2};
+        report.isolated = true;
         report.known = {4, 5, 6};
         peer_service_report service;
         service.primary = server_name("s");
--- a/src/entry/tests/server_exchange_test.cpp
+++ b/src/entry/tests/server_exchange_test.cpp
@@ -85,5 +85,23 @@
     EXPECT_GT(m_connection->alignment.distance({{"a", "2"}}), 0);
 }
 
+// Guards against values of another session: a connection whose late answers were read counted as
+// holding the values that it had before, as seen on Sprout grown scale-2.
+TEST_F(server_exchange_test, connection_with_values_in_doubt_is_not_used_again) {
+    m_plan.values = {{"a", "1"}};
+    ASSERT_EQ(run().end, exchange_end::answered);
+    m_pool->release(std::move(m_connection));
+    m_plan.values = {{"a", "2"}};
+    m_servers.at("s").silent_at = order_kind::set_value;
+    const auto result = run();
+    ASSERT_EQ(result.end, exchange_end::silent);
+    m_servers.at("s").silent_at.reset();
+    m_pool->release_after_answers(std::move(m_connection), result.answers_due);
+    m_plan.values = {{"a", "1"}};
+    m_servers.at("s").received.clear();
+    ASSERT_EQ(run().end, exchange_end::answered);
+    EXPECT_TRUE(received(order_kind::set_value));
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/entry/tests/statement_runner_test.cpp
+++ b/src/entry/tests/statement_runner_test.cpp
@@ -25,9 +25,9 @@
         std::vector<fleet::usable_server> usable(2);
         usable[0].listed = fake_listed("primary", "far");
         usable[0].primary = true;
-        usable[0].connections = 2;
+        usable[0].connections = {2, 2};
         usable[1].listed = fake_listed("replica", "near");
-        usable[1].connections = 2;
+        usable[1].connections = {2, 2};
         m_service.apply(usable);
     }
 
--- a/src/entry/types/peer_report.h
+++ b/src/entry/types/peer_report.h
@@ -3,13 +3,13 @@
 #include "base/clock.h"
 #include "base/types/name.h"
 #include "entry/fleet_store.h"
-#include "fleet/types/demand_report.h"
 #include "machines/types/log_position.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace oriole::entry {
@@ -38,10 +38,14 @@
 /// What instances exchange. The answer to it has the same form, with the objects that the asking
 /// instance does not know yet.
 struct peer_report {
-    fleet::demand_report demand;
-    std::uint64_t confirmed = 0; ///< number of the demand report that this answers, if it was taken
+    instance_id from;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;   ///< grows with each report of one incarnation
+    std::set<int> wanted_loans; ///< rate groups whose keeper the sender is
+    std::set<int> lent;         ///< in an answer: groups whose part the asking instance has now
     known_revisions known;
-    bool leaving = false; ///< the sender ends now and spends nothing any more
+    bool isolated = false; ///< the sender's zone is cut off, as far as it knows
+    bool leaving = false;  ///< the sender ends now and spends nothing any more
     std::map<service_name, peer_service_report> services;
     std::shared_ptr<const fleet::configuration> configuration;
     std::optional<std::vector<fleet::listed_server>> servers;
--- a/src/entry/types/traffic_report.h
+++ b/src/entry/types/traffic_report.h
@@ -20,7 +20,6 @@
 /// What the traffic thread tells the control thread from time to time.
 struct traffic_report {
     std::map<service_name, service_report> services;
-    std::map<account_name, double> operations; ///< asked for since the last report
 
     friend bool operator==(const traffic_report&, const traffic_report&) = default;
 };
--- a/src/fleet/internal/ranked_primary_watch.cpp
+++ b/src/fleet/internal/ranked_primary_watch.cpp
@@ -1,7 +1,5 @@
 #include "fleet/primary_watch.h"
 
-#include "machines/rendezvous.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -62,14 +60,15 @@
             m_just_promoted = false;
         }
         const auto since = change_due_since(situation, now);
-        if (!since) {
+        const auto own_turn = rank(situation);
+        if (!since || !own_turn) {
             m_due_since.reset();
             return std::nullopt;
         }
         if (!m_due_since) {
             m_due_since = *since;
         }
-        const auto turn = *m_due_since + step_in_delay * rank(situation);
+        const auto turn = *m_due_since + step_in_delay * *own_turn;
         const bool settling = m_promoted_at && now - *m_promoted_at < settle_period;
         if (now < turn || settling) {
             return std::nullopt;
@@ -134,23 +133,19 @@
         return reaching > failing;
     }
 
-    [[nodiscard]] int rank(const primary_situation& situation) const {
+    /// The turn of this instance; nullopt when it is not among those that act.
+    [[nodiscard]] std::optional<int> rank(const primary_situation& situation) const {
         if (situation.last_holder == m_own.id) {
             return 0;
         }
-        const auto own_score = score(situation, m_own.id);
-        int rank = situation.last_holder.empty() ? 0 : 1;
+        int turn = situation.last_holder.empty() ? 0 : 1;
         for (const auto& instance : situation.instances) {
-            const bool before = instance.id != m_own.id && instance.id != situation.last_holder &&
-                                score(situation, instance.id) > own_score;
-            rank += before ? 1 : 0;
+            if (instance.id == m_own.id) {
+                return turn;
+            }
+            turn += instance.id == situation.last_holder ? 0 : 1;
         }
-        return rank;
-    }
-
-    [[nodiscard]] static std::uint64_t score(const primary_situation& situation,
-                                             const instance_id& id) {
-        return machines::rendezvous_score(situation.service.str(), id.str());
+        return std::nullopt;
     }
 
     [[nodiscard]] primary_change make_change(const primary_situation& situation) const {
--- a/src/fleet/primary_watch.h
+++ b/src/fleet/primary_watch.h
@@ -35,7 +35,7 @@
     std::set<zone_name> evacuated_zones;
     primary_evidence own;
     std::map<instance_id, primary_evidence> peers; ///< reports that are recent
-    std::vector<listed_instance> instances;        ///< all of them
+    std::vector<listed_instance> instances;        ///< that may act, in the order of their turns
     instance_id last_holder;                       ///< that ordered the last change
 
     friend bool operator==(const primary_situation&, const primary_situation&) = default;
--- a/src/fleet/types/listed_instance.h
+++ b/src/fleet/types/listed_instance.h
@@ -12,6 +12,8 @@
     instance_id id;
     zone_name zone;
     endpoint peer_address;
+    endpoint gateway_address;      ///< where other instances hand over statements
+    int capacity = 1;              ///< its share of a processor core, in hundredths
     std::uint64_t incarnation = 0; ///< random, new at each start
     std::uint64_t beats = 0;       ///< grows while the instance lives and reaches the store
 
--- a/src/links/internal/tcp_peer_link.cpp
+++ b/src/links/internal/tcp_peer_link.cpp
@@ -28,6 +28,9 @@
 
 using connection_ptr = std::unique_ptr<peer_connection>;
 
+/// An instance whose machine is gone does not refuse a connection, it never answers.
+constexpr std::chrono::milliseconds connect_limit{300};
+
 struct idle_connection {
     endpoint peer;
     connection_ptr connection;
@@ -120,7 +123,7 @@
 
 awaitable<connection_ptr> tcp_peer_link::connect(const endpoint& peer, clock::time_point deadline) {
     boost::beast::tcp_stream stream(m_executor);
-    stream.expires_at(deadline);
+    stream.expires_at(std::min(deadline, steady_clock().now() + connect_limit));
     const tcp::endpoint remote(asio::ip::make_address(peer.address()), peer.port());
     co_await stream.async_connect(remote, asio::use_awaitable);
     stream.socket().set_option(tcp::no_delay(true));
@@ -129,6 +132,7 @@
     co_await write_peer_frame(*opened, std::move(hello));
     hello = co_await read_peer_frame(*opened, peer_hello_bytes);
     opened->session.accept_hello(hello);
+    opened->stream.expires_at(deadline);
     m_bytes += opened->bytes;
     co_return opened;
 }
--- a/src/sessions/connection_alignment.h
+++ b/src/sessions/connection_alignment.h
@@ -21,7 +21,13 @@
     [[nodiscard]] std::vector<server_order> orders_for(const session_values& wanted,
                                                        const prepared_shape* needed) const;
 
-    /// Takes over an order that the server has acknowledged.
+    /// The orders were sent; until all are acknowledged, what the connection holds is not known.
+    void sent(const std::vector<server_order>& orders);
+
+    /// Whether the server has acknowledged all that was sent.
+    [[nodiscard]] bool settled() const noexcept { return m_unacknowledged == 0; }
+
+    /// Takes over an order that was sent and that the server has acknowledged.
     void acknowledge(const server_order& order);
 
     /// Number of orders needed for `wanted`; a reset counts as many. For choosing a connection.
@@ -35,6 +41,7 @@
 
     session_values m_values;
     std::set<prepared_shape> m_prepared;
+    std::size_t m_unacknowledged = 0;
 };
 
 } // namespace oriole::sessions
--- a/src/sessions/internal/connection_alignment.cpp
+++ b/src/sessions/internal/connection_alignment.cpp
@@ -44,7 +44,12 @@
     return orders;
 }
 
+void connection_alignment::sent(const std::vector<server_order>& orders) {
+    m_unacknowledged += orders.size();
+}
+
 void connection_alignment::acknowledge(const server_order& order) {
+    m_unacknowledged -= m_unacknowledged > 0 ? 1 : 0;
     if (order.kind == order_kind::reset) {
         m_values.clear();
         m_prepared.clear();
