Add a fault soak; close connections whose answers are out of step

Cause: the soak's seed 13 got successes without a server's signature: the read's answer was lost, and the answer to the rollback behind it was taken for it. server_exchange_test shows it and failed before.

Change: an answer without a signature ends the connection. A report of a new process brings its instance back at once. tests/soak runs real processes behind fault proxies and judges the promises while it runs; each promise has a planted fault in judge_test.

--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -153,8 +153,15 @@
         mark_ended(report.from, report.incarnation);
     }
     const auto sender = m_instances.find(report.from);
-    const bool listed =
-        sender != m_instances.end() && sender->second.listed.incarnation == report.incarnation;
+    const bool listed = sender != m_instances.end();
+    const auto ended = m_ended.find(report.from);
+    const bool over = ended != m_ended.end() && ended->second == report.incarnation;
+    if (listed && !over && sender->second.listed.incarnation != report.incarnation) {
+        // It has started anew, usually at the same addresses; the list will tell.
+        sender->second.listed.incarnation = report.incarnation;
+        m_unlisted = true;
+        update_peers();
+    }
     m_unlisted = m_unlisted || !listed;
     if (listed && sender->second.listed.zone == m_own.zone &&
         fleet::holds(m_roles->watchers, report.from)) {
--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -59,6 +59,9 @@
                 co_await m_connection.channel->send(std::move(rest), remaining());
             }
             result.answer = co_await m_connection.channel->receive(remaining());
+            if (result.answer.code == answer_code::ok && result.answer.signature.empty()) {
+                throw server_unreachable("the statement's answer was lost, a later one came");
+            }
             --m_due;
             result.end = exchange_end::answered;
             m_pool.mark_answered(m_connection, steady_clock().now());
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -25,6 +25,7 @@
     bool refuses_connections = false;
     std::optional<sessions::order_kind> breaks_at; ///< the connection ends instead of an answer
     std::optional<sessions::order_kind> silent_at; ///< no answer comes
+    std::optional<sessions::order_kind> loses_at;  ///< the answer is lost, later ones come
     std::vector<sessions::server_order> received;
     int connections = 0;
     int opened = 0;
@@ -68,6 +69,10 @@
         }
 
         boost::asio::awaitable<sessions::server_answer> receive(clock::duration limit) override {
+            if (m_script->loses_at == m_due.front().kind && m_due.size() > 1) {
+                static_cast<void>(answer_to(m_due.front()));
+                m_due.pop_front();
+            }
             const auto order = m_due.front();
             if (m_script->breaks_at == order.kind) {
                 throw server_unreachable("broken");
@@ -107,7 +112,9 @@
             } else if (order.kind == order_kind::rollback || order.text == "COMMIT") {
                 m_state = transaction_state::none;
             }
-            answer.signature = "signed";
+            const bool callers =
+                order.kind == order_kind::caller_statement || order.kind == order_kind::execute;
+            answer.signature = callers ? "signed" : "";
             answer.state = m_state;
             return answer;
         }
--- a/src/entry/tests/fleet_knowledge_test.cpp
+++ b/src/entry/tests/fleet_knowledge_test.cpp
@@ -131,5 +131,46 @@
     EXPECT_TRUE(m_knowledge.take_proofs().empty());
 }
 
+// Guards against an instance that stays out of use until the next list because its earlier process
+// refused a connection, as seen when all instances start at once: the rates' keepers got no loans.
+TEST_F(fleet_knowledge_test, ended_instance_that_reports_anew_is_a_peer_again) {
+    fleet::listed_instance peer;
+    peer.id = instance_id("peer");
+    peer.zone = zone_name("zone-b");
+    peer.incarnation = 5;
+    m_knowledge.take_instances({{{"peer", 2, false, peer}}, 2}, at(1s));
+    m_knowledge.mark_ended(peer.id, 5);
+    ASSERT_TRUE(m_knowledge.peers().empty());
+    peer_report report;
+    report.from = peer.id;
+    report.incarnation = 6;
+    m_knowledge.take_report(report, std::nullopt, at(2s));
+    ASSERT_EQ(m_knowledge.peers().size(), 1U);
+    EXPECT_TRUE(m_knowledge.take_unlisted());
+}
+
+// Guards against an instance of a cut-off zone that goes on taking callers since it has no primary
+// of its own to lose.
+TEST_F(fleet_knowledge_test, zone_is_isolated_when_its_watchers_say_so) {
+    std::vector<stored<fleet::listed_instance>> listed;
+    for (int i = 0; i < 6; ++i) {
+        fleet::listed_instance peer;
+        peer.id = instance_id("peer" + std::to_string(i));
+        peer.zone = zone_name("zone-a");
+        peer.capacity = 1000; // The own instance is no watcher.
+        listed.push_back({peer.id.str(), 2, false, peer});
+    }
+    m_knowledge.take_instances({listed, 2}, at(1s));
+    ASSERT_EQ(m_knowledge.zone_isolated(at(1s)), false);
+    for (const auto& peer : listed) {
+        peer_report report;
+        report.from = instance_id(peer.name);
+        report.isolated = true;
+        m_knowledge.take_report(report, std::nullopt, at(2s));
+    }
+    EXPECT_EQ(m_knowledge.zone_isolated(at(2s)), true);
+    EXPECT_EQ(m_knowledge.zone_isolated(at(6s)), false);
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/entry/tests/server_exchange_test.cpp
+++ b/src/entry/tests/server_exchange_test.cpp
@@ -85,6 +85,17 @@
     EXPECT_GT(m_connection->alignment.distance({{"a", "2"}}), 0);
 }
 
+// Guards against the rollback's answer being taken for the read's, as seen in the soak with seed
+// 13: the caller got a success without a server's signature.
+TEST_F(server_exchange_test, answer_without_a_signature_is_not_the_statements) {
+    m_servers.at("s").primary = true;
+    m_servers.at("s").loses_at = order_kind::caller_statement;
+    m_plan.opening.emplace();
+    m_plan.opening->kind = order_kind::begin;
+    m_plan.rolls_back = true;
+    EXPECT_EQ(run().end, exchange_end::broken);
+}
+
 // Guards against values of another session: a connection whose late answers were read counted as
 // holding the values that it had before, as seen on Sprout grown scale-2.
 TEST_F(server_exchange_test, connection_with_values_in_doubt_is_not_used_again) {
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,147 @@
+"""Callers that keep using open sessions while faults come and go."""
+
+import random
+import threading
+import time
+
+from history import Statement
+from platform_fixtures import Session
+
+DATABASES = ("newest", "bounded", "own")
+PAUSE_S = 0.03
+OPERATIONS_PER_CALLER = 10**6
+RETRY_PAUSE_S = 0.1
+PROBE = "probe"  # the id of statements that only ask whether an instance serves
+
+
+class Caller(threading.Thread):
+    """One caller. It writes an item of its own, with growing numbers, and reads the others'."""
+
+    _numbers = threading.Lock()
+    _last_request = 0
+    _last_session = 0
+
+    def __init__(self, site, number, callers, seed):
+        super().__init__(daemon=True)
+        self.site = site
+        self.history = site.history
+        self.number = number
+        self.callers = callers
+        self.random = random.Random(seed * 1000 + number)
+        self.account = "acme" if number % 2 == 0 else "kita"
+        self.writes = 0
+        self.operation = 0
+        self.stopped = threading.Event()
+
+    def run(self):
+        while not self.stopped.is_set():
+            try:
+                self.serve_session()
+            except (OSError, ConnectionError, ValueError):
+                self.stopped.wait(RETRY_PAUSE_S)
+
+    def serve_session(self):
+        instance = self.random.choice(self.site.instances)
+        key = self.site.platform.keys[self.account][0]
+        self.database = self.random.choice(DATABASES)
+        session = Session(instance.callers, self.database, key)
+        try:
+            if not session.greeting.startswith("READY"):
+                self.stopped.wait(RETRY_PAUSE_S)
+                return
+            with self._numbers:
+                Caller._last_session += 1
+                self.session_number = Caller._last_session
+            self.history.keys[self.session_number] = key
+            self.values, self.shape = {}, None
+            for _ in range(self.random.randint(5, 200)):
+                if self.stopped.is_set() or not self.act(session):
+                    return
+                time.sleep(self.random.uniform(0, 2 * PAUSE_S))
+        finally:
+            session.close()
+
+    def act(self, session):
+        """One operation; whether the session may go on."""
+        self.operation += 1
+        choice = self.random.random()
+        if choice < 0.1:
+            return self.set_value(session)
+        if choice < 0.2:
+            return self.transaction(session)
+        if choice < 0.4:
+            return self.state_is_idle(self.send(session, self.next_write()))
+        if choice < 0.5:
+            return self.execute(session)
+        item = f"item{self.random.randrange(self.callers)}"
+        return self.state_is_idle(self.send(session, f"READ {item}"))
+
+    @staticmethod
+    def state_is_idle(answer):
+        return answer.state == "I" and answer.error != "DENIED"
+
+    def next_write(self):
+        self.writes += 1
+        return f"WRITE item{self.number} w{self.number}-{self.writes}"
+
+    def set_value(self, session):
+        name, value = f"v{self.random.randrange(2)}", str(self.random.randrange(3))
+        if session.run(f"SET {name} {value}").error is not None:
+            return False
+        self.values[name] = value
+        return True
+
+    def execute(self, session):
+        shape = f"q{self.random.randrange(3)}"
+        if session.run(f"PREPARE s1 READ {shape}").error is not None:
+            return False
+        self.shape = shape
+        return self.state_is_idle(self.send(session, "EXECUTE s1 item0"))
+
+    def transaction(self, session):
+        if session.run("BEGIN").state != "T":
+            return False
+        for _ in range(self.random.randint(1, 3)):
+            text = self.next_write() if self.random.random() < 0.5 else "READ item0"
+            if self.send(session, text, True).error is not None:
+                return session.run("ROLLBACK").state == "I"
+            time.sleep(self.random.uniform(0, PAUSE_S))
+        if self.random.random() < 0.2:
+            return session.run("ROLLBACK").state == "I"
+        return self.state_is_idle(self.send(session, "COMMIT", True))
+
+    def send(self, session, text, in_transaction=False):
+        with self._numbers:
+            Caller._last_request += 1
+            request = f"c{Caller._last_request:x}"
+        operation = self.number * OPERATIONS_PER_CALLER + self.operation
+        self.history.expect(request, operation)
+        started = time.monotonic()
+        answer, error = None, "LOST"
+        try:
+            session.send(f"QUERY {request} {text}")
+            answer = session.answer()
+            error = answer.error
+            return answer
+        finally:
+            self.history.add_statement(Statement(
+                request, self.session_number, self.account, self.database, text,
+                tuple(sorted(self.values.items())),
+                self.shape if text.startswith("EXECUTE") else None, started, time.monotonic(),
+                error, tuple(answer.rows) if answer else (),
+                answer.signature if answer else None,
+                operation, in_transaction))
+
+
+def serves(site, instance):
+    """Whether a new session at the instance can write and read."""
+    try:
+        session = Session(instance.callers, "newest", site.platform.keys["kita"][0])
+        try:
+            site.history.expect(PROBE, None)
+            session.send(f"QUERY {PROBE} READ item0")
+            return session.greeting.startswith("READY") and session.answer().error is None
+        finally:
+            session.close()
+    except (OSError, ConnectionError):
+        return False
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,225 @@
+"""Faults that are injected from outside: each begins, lasts for a while and ends."""
+
+import signal
+import threading
+import time
+
+from site_under_soak import STOP_GRACE_S
+
+
+class Faults:
+    """Draws faults from a seeded generator. Each method below starts one and returns how to end
+    it."""
+
+    def __init__(self, site, random):
+        self.site = site
+        self.random = random
+        self.kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("do_")]
+        self.held = set()  # what a fault is using, so that two do not undo one another
+        self.lock = threading.Lock()
+
+    def hold(self, candidates):
+        free = [candidate for candidate in candidates if candidate not in self.held]
+        if not free:
+            return None
+        chosen = self.random.choice(free)
+        self.held.add(chosen)
+        return chosen
+
+    def draw(self):
+        """(name, end) of a fault that has begun; None when all it could use is in use."""
+        kind = self.random.choice(self.kinds)
+        end = kind()
+        return (kind.__name__.removeprefix("do_"), end) if end is not None else None
+
+    def pick_instance(self):
+        return self.hold(self.site.instances)
+
+    def release(self, thing):
+        self.held.discard(thing)
+
+    def do_kill_and_restart(self):
+        instance = self.pick_instance()
+        if instance is None:
+            return None
+        instance.signal(signal.SIGKILL)
+        instance.process.wait()
+
+        def end():
+            instance.start()
+            self.release(instance)
+
+        return end
+
+    def do_planned_stop(self):
+        instance = self.pick_instance()
+        if instance is None or not instance.ready():
+            self.release(instance)
+            return None
+        at = time.monotonic()
+        instance.signal(signal.SIGTERM)
+
+        def end():
+            limit = max(at + STOP_GRACE_S + 2 - time.monotonic(), 0.1)
+            try:
+                status = instance.process.wait(timeout=limit)
+            except Exception:  # subprocess.TimeoutExpired
+                status = None
+                instance.signal(signal.SIGKILL)
+                instance.process.wait()
+            self.site.history.planned_stops.append((instance.name, at, status))
+            instance.start()
+            self.release(instance)
+
+        return end
+
+    def do_pause(self):
+        instance = self.pick_instance()
+        if instance is None:
+            return None
+        instance.signal(signal.SIGSTOP)
+
+        def end():
+            instance.signal(signal.SIGCONT)
+            self.release(instance)
+
+        return end
+
+    def do_hangup(self):
+        instance = self.pick_instance()
+        if instance is None:
+            return None
+        if instance.ready():  # Before its start is complete the signal ends a process.
+            instance.signal(signal.SIGHUP)
+        return lambda: self.release(instance)
+
+    def proxied(self, proxies, **faults):
+        proxy = self.hold(list(proxies.values()))
+        if proxy is None:
+            return None
+        proxy.set(**faults)
+
+        def end():
+            proxy.set()
+            self.release(proxy)
+
+        return end
+
+    def do_store_link_silent(self):
+        return self.proxied(self.site.store_proxies, drop_to_target=True, drop_to_client=True)
+
+    def do_store_link_one_way(self):
+        return self.proxied(self.site.store_proxies, drop_to_client=True)
+
+    def do_store_link_cut(self):
+        return self.proxied(self.site.store_proxies, cut=True)
+
+    def do_peer_link_silent(self):
+        return self.proxied(self.site.peer_proxies, drop_to_target=True, drop_to_client=True)
+
+    def do_peer_link_one_way(self):
+        return self.proxied(self.site.peer_proxies, drop_to_client=True)
+
+    def do_peer_link_slow(self):
+        return self.proxied(self.site.peer_proxies, delay_ms=80, jitter_ms=60)
+
+    def do_server_link_silent(self):
+        return self.proxied(self.site.server_proxies, drop_to_target=True, drop_to_client=True)
+
+    def do_server_link_one_way(self):
+        return self.proxied(self.site.server_proxies, drop_to_client=True)
+
+    def do_server_link_cut(self):
+        return self.proxied(self.site.server_proxies, cut=True)
+
+    def do_server_link_slow(self):
+        return self.proxied(self.site.server_proxies, delay_ms=40, jitter_ms=40)
+
+    def do_server_crash(self):
+        server = self.hold(self.site.servers)
+        if server is None:
+            return None
+        platform = self.site.platform
+        platform.call(server.crash)
+        platform.call(platform.store.put, "servers", server.id, None)
+
+        def end():
+            platform.call(platform.start_server, server)
+            platform.call(self.site.resynchronize)
+            platform.call(platform.register, server)
+            self.release(server)
+
+        return end
+
+    def do_replica_lag(self):
+        server = self.hold(self.site.servers)
+        if server is None:
+            return None
+        server.lag_s = self.random.uniform(0.1, 2.0)
+
+        def end():
+            server.lag_s = 0.0
+            self.release(server)
+
+        return end
+
+    def do_lost_answers(self):
+        server = self.hold(self.site.servers)
+        if server is None:
+            return None
+        server.lost_answers = self.random.randint(1, 4)
+        return lambda: self.release(server)
+
+    def do_store_down(self):
+        store = self.hold([self.site.platform.store])
+        if store is None:
+            return None
+        store.down = True
+        self.site.platform.call(self.wake_watches)
+
+        def end():
+            store.down = False
+            self.release(store)
+
+        return end
+
+    async def wake_watches(self):
+        async with self.site.platform.store.changed:
+            self.site.platform.store.changed.notify_all()
+
+    def do_store_loses_answers(self):
+        self.site.platform.store.lost_answers = self.random.randint(1, 3)
+        return lambda: None
+
+    def do_store_forgets_history(self):
+        self.site.platform.call(self.site.platform.store.forget_history)
+        return lambda: None
+
+    def do_configuration_change(self):
+        self.site.platform.call(self.site.platform.publish)
+        return lambda: None
+
+    def do_key_withdrawn(self):
+        keys = self.site.platform.keys["acme"]
+        key, new = keys[0], f"acme-key-{len(self.site.history.withdrawn) + 1}"
+        keys[:] = [new]
+        self.site.platform.call(self.site.platform.publish)
+        self.site.history.withdrawn.append((time.monotonic(), key, "acme"))
+        return lambda: None
+
+    def do_zone_out(self):
+        zone = self.hold([server.zone for server in self.site.servers])
+        out = [held for held in self.held if str(held).startswith("zone-")]
+        if zone is None or len(out) > 1:
+            self.release(zone)
+            return None
+        put = self.site.platform.store.put
+        self.site.platform.call(put, "evacuations", zone, {})
+        accepted = time.monotonic()
+
+        def end():
+            self.site.history.evacuations.append((accepted, time.monotonic(), zone))
+            self.site.platform.call(put, "evacuations", zone, None)
+            self.release(zone)
+
+        return end
--- /dev/null
+++ b/tests/soak/judge_test.py
@@ -0,0 +1,141 @@
+"""Shows that the judge of the soak catches a planted fault for each promise."""
+
+import dataclasses
+import unittest
+
+import judge
+from history import Entry, History, Run, Statement
+
+
+class JudgeTest(unittest.TestCase):
+    def setUp(self):
+        self.history = History()
+        self.write = Statement("1", 1, "acme", "newest", "WRITE a w-1", (("x", "1"),), None, 1.0,
+                               1.1, None, (), "signed-i-0-1", 1)
+        self.run = Run(1.05, "i-0", "zone-a", "1", "acme", ("WRITE", "a", "w-1"), "I",
+                       (("x", "1"),))
+        self.history.committed = [Entry("a", "w-1")]
+        self.history.keys = {1: "acme-key"}
+        self.add(self.write, self.run)
+
+    def add(self, statement, run=None):
+        self.history.add_statement(statement)
+        if run is not None:
+            self.history.add_run(run)
+
+    def read(self, started, row, database="newest", session=2):
+        statement = Statement("2", session, "acme", database, "READ a", (), None, started,
+                              started + 0.1, None, (row,), "signed-i-0-2", 2)
+        run = Run(started, "i-0", "zone-a", "2", "acme", ("READ", "a"), "I", ())
+        self.add(statement, run)
+
+    def findings(self):
+        return judge.judge(self.history, 100, 100)
+
+    # Guards against a judge that finds faults in a good history.
+    def test_good_history_has_no_findings(self):
+        self.read(2.0, "w-1")
+        self.assertEqual(self.findings(), [])
+
+    def test_success_without_signature_is_found(self):
+        self.history.statements[0] = dataclasses.replace(self.write, signature="signed-i-1-1")
+        self.assertIn("signature", self.findings()[0])
+
+    def test_statement_that_nobody_sent_is_found(self):
+        self.history.add_run(dataclasses.replace(self.run, request="9"))
+        self.assertIn("no caller sent it", self.findings()[0])
+
+    def test_statement_of_another_account_is_found(self):
+        self.history.runs[0] = dataclasses.replace(self.run, account="kita")
+        self.assertIn("ran for kita", self.findings()[0])
+
+    def test_changed_text_is_found(self):
+        self.history.runs[0] = dataclasses.replace(self.run, words=("WRITE", "a", "w-2"))
+        self.assertIn("ran WRITE a w-2", self.findings()[0])
+
+    def test_values_of_another_session_are_found(self):
+        self.history.runs[0] = dataclasses.replace(self.run, values=(("x", "2"),))
+        self.assertIn("ran with values", self.findings()[0])
+
+    def test_statement_outside_of_its_transaction_is_found(self):
+        self.history.statements[0] = dataclasses.replace(self.write, in_transaction=True)
+        self.assertTrue(any("outside" in finding for finding in self.findings()))
+
+    def test_write_that_took_effect_twice_is_found(self):
+        self.history.committed.append(Entry("a", "w-1"))
+        self.assertIn("2 times", self.findings()[0])
+
+    def test_kept_write_after_a_promise_is_found(self):
+        self.history.statements[0] = dataclasses.replace(self.write, error="BUSY")
+        self.assertIn("kept after BUSY", self.findings()[0])
+
+    def test_kept_write_of_a_transaction_without_commit_is_found(self):
+        self.history.statements[0] = dataclasses.replace(self.write, in_transaction=True)
+        self.history.runs[0] = dataclasses.replace(self.run, state="T")
+        self.assertIn("though its transaction was not", self.findings()[0])
+
+    # Guards against a finding for a transaction whose commit is on its way, as made with seed 13.
+    def test_transaction_with_an_open_commit_is_not_judged(self):
+        self.history.statements[0] = dataclasses.replace(self.write, in_transaction=True)
+        self.history.runs[0] = dataclasses.replace(self.run, state="T")
+        self.history.expect("2", self.write.operation)
+        self.assertEqual(self.findings(), [])
+
+    def test_lost_write_is_found(self):
+        self.history.committed = []
+        self.assertIn("acknowledged and lost", self.findings()[0])
+
+    # Guards against findings for what a promotion may lose.
+    def test_rolled_back_write_is_allowed(self):
+        self.history.committed = []
+        self.history.rolled_back = {"w-1"}
+        self.assertEqual(self.findings(), [])
+
+    def test_stale_newest_read_is_found(self):
+        self.read(2.0, "None")
+        self.assertIn("was due", self.findings()[0])
+
+    def test_bounded_read_may_miss_a_young_write_only(self):
+        self.read(2.0, "None", "bounded")
+        self.read(3.0, "None", "own")
+        self.assertEqual(self.findings(), [])
+        self.read(4.0, "None", "bounded")
+        self.assertIn("was due", self.findings()[0])
+
+    def test_read_without_the_sessions_own_write_is_found(self):
+        self.read(2.0, "None", "own", session=1)
+        self.assertIn("was due", self.findings()[0])
+
+    def test_repeated_fence_is_found(self):
+        self.history.fences = [4, 4]
+        self.assertIn("fence 4 after 4", self.findings()[0])
+
+    def test_withdrawn_key_is_found(self):
+        self.history.withdrawn = [(-5.0, "acme-key", "acme")]
+        self.assertIn("withdrawn", self.findings()[0])
+
+    def test_evacuated_zone_is_found(self):
+        self.history.evacuations = [(-5.0, 9.0, "zone-a")]
+        self.assertIn("taken out", self.findings()[0])
+
+    def test_excess_over_the_rate_is_found(self):
+        for number in range(800):
+            request = f"r{number}"
+            self.add(dataclasses.replace(self.write, request=request, text="READ b", values=(),
+                                         operation=number + 10, rows=("None",),
+                                         signature=f"signed-i-0-{request}"),
+                     dataclasses.replace(self.run, request=request, words=("READ", "b"),
+                                         values=(), at=1.0 + number / 1000))
+        self.assertIn("operations in", self.findings()[0])
+
+    def test_instance_that_does_not_recover_is_found(self):
+        self.history.recovered = {"instance-0": False}
+        self.assertIn("serves nothing", self.findings()[0])
+
+    def test_stop_beyond_its_grace_is_found(self):
+        self.history.planned_stops = [("instance-0", 1.0, None)]
+        self.assertIn("planned stop", self.findings()[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/site_under_soak.py
@@ -0,0 +1,154 @@
+"""The system under soak: real instances, stand-ins, and a fault proxy in front of each address."""
+
+import os
+import signal
+import subprocess
+import time
+
+from history import Entry, StampedRuns
+from platform_fixtures import LOOPBACK, ROOT, STOP_GRACE_S, Platform, free_port
+from oriole_site.http import fetch_status, put_json
+
+# Instances by zone; the platform's stand-in has one server in each zone.
+ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c")
+RATE = 200
+BURST = 200
+
+
+class Proxy:
+    """A process of oriole-faults in front of some addresses."""
+
+    def __init__(self, build, targets):
+        self.control = free_port()
+        self.ports = [free_port() for _ in targets]
+        arguments = [os.path.join(build, "bin", "oriole-faults"), "--control",
+                     f"{LOOPBACK}:{self.control}"]
+        for port, target in zip(self.ports, targets):
+            arguments += ["--route", f"{LOOPBACK}:{port}={LOOPBACK}:{target}"]
+        self.process = subprocess.Popen(arguments, stdout=subprocess.DEVNULL,
+                                        stderr=subprocess.DEVNULL)
+
+    def set(self, **faults):
+        put_json(self.control, "/faults", faults)
+
+
+class Instance:
+    """One entry instance, whose process may end and start again with the same settings."""
+
+    def __init__(self, number, zone, work_dir, build):
+        self.name = f"instance-{number}"
+        self.zone = zone
+        self.program = os.path.join(build, "bin", "oriolethread-platform")
+        self.settings = os.path.join(work_dir, f"{self.name}.yaml")
+        self.log_path = os.path.join(work_dir, f"{self.name}.log")
+        self.callers, self.admin, self.peers, self.gateway = (free_port() for _ in range(4))
+        self.process = None
+
+    def write_settings(self, store, promotions):
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write(f"instance: {self.name}\nzone: {self.zone}\n"
+                      f"callers: {LOOPBACK}:{self.callers}\nadmin: {LOOPBACK}:{self.admin}\n"
+                      f"peers: {LOOPBACK}:{self.peers}\ngateway: {LOOPBACK}:{self.gateway}\n"
+                      f"core_share: 0.25\nstore: {LOOPBACK}:{store}\n"
+                      f"promotions: {LOOPBACK}:{promotions}\nstop_grace_s: {STOP_GRACE_S}\n")
+
+    def start(self):
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen([self.program, "--settings", self.settings],
+                                            stdout=log, stderr=subprocess.STDOUT)
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def ready(self):
+        try:
+            return fetch_status(self.admin, "/readyz") == 200
+        except OSError:
+            return False
+
+
+class Site:
+    def __init__(self, history, work_dir, build):
+        self.history = history
+        self.platform = Platform(RATE, BURST)
+        self.servers = list(self.platform.database.servers.values())
+        self.server_proxies = {server.id: Proxy(build, [server.port]) for server in self.servers}
+        self.instances = [Instance(number, zone, work_dir, build)
+                          for number, zone in enumerate(ZONES)]
+        self.store_proxies = {}
+        self.peer_proxies = {}
+        for instance in self.instances:
+            store = Proxy(build, [self.platform.store_port, self.platform.promotion_port])
+            instance.write_settings(*store.ports)
+            self.store_proxies[instance.name] = store
+            self.peer_proxies[instance.name] = Proxy(build, [instance.peers, instance.gateway])
+        self.platform.call(self.prepare)
+        for instance in self.instances:
+            instance.start()
+
+    async def prepare(self):
+        """Records what servers run, and puts the proxies into what the store tells."""
+        database, store = self.platform.database, self.platform.store
+        for server in self.servers:
+            server.ran = StampedRuns(self.history, server)
+        promote, change, put = database.promote, store.change, store.put
+
+        def judged_promote(server):
+            longest = max((other.log for other in self.servers), key=len)
+            kept = {data for _, _, data in server.log}
+            promote(server)
+            self.history.rolled_back |= {data for _, _, data in longest if data not in kept}
+            self.resynchronize()
+
+        async def put_with_proxies(kind, name, spec):
+            if kind == "servers" and spec is not None:
+                port = self.server_proxies[name].ports[0]
+                spec = dict(spec, address=f"{LOOPBACK}:{port}")
+            await put(kind, name, spec)
+
+        async def change_with_proxies(method, kind, name, body):
+            if kind == "oriole-instances" and body:
+                instance = body["meta"]["name"]
+                peers, gateway = self.peer_proxies[instance].ports
+                body["spec"].update(peers=f"{LOOPBACK}:{peers}", gateway=f"{LOOPBACK}:{gateway}")
+            return await change(method, kind, name, body)
+
+        database.promote, store.put, store.change = (judged_promote, put_with_proxies,
+                                                     change_with_proxies)
+        self.history.fences = self.platform.fences
+        for server in self.servers:
+            await self.platform.register(server)
+
+    def resynchronize(self):
+        """Transfers the primary's log to the servers that receive."""
+        leader = self.platform.database.leader
+        for server in self.servers:
+            if leader is not None and server is not leader and not server.dark:
+                server.log = list(leader.log)
+                now = time.monotonic()
+                server.received_at = (server.received_at + [now] * len(leader.log))[
+                    :len(leader.log)]
+
+    def log(self):
+        """The committed writes."""
+        database = self.platform.database
+        holder = database.leader or max(self.servers, key=lambda server: len(server.log))
+        return [Entry(item, data) for _, item, data in list(holder.log) if data is not None]
+
+    def processes(self):
+        proxies = [*self.server_proxies.values(), *self.store_proxies.values(),
+                   *self.peer_proxies.values()]
+        return [proxy.process for proxy in proxies] + [
+            instance.process for instance in self.instances if instance.process is not None]
+
+    def stop(self):
+        for process in self.processes():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        # Tasks that are cancelled with the stand-in are no findings.
+        self.platform.loop.call_soon_threadsafe(self.platform.loop.set_exception_handler,
+                                                lambda _loop, _context: None)
+        self.platform.stop()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,148 @@
+#!/usr/bin/env python3
+"""Randomized soak: real processes on loopback, faults from outside, promises judged throughout."""
+
+import argparse
+import collections
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
+                                "process"))
+
+from callers import Caller, serves
+from faults import Faults
+from history import History
+from judge import judge
+from site_under_soak import BURST, RATE, ROOT, Site
+
+CALLERS = 12
+MOST_FAULTS = 3
+JUDGE_INTERVAL_S = 5.0
+READY_S = 20.0
+RECOVER_S = 12.0
+
+
+class Soak:
+    def __init__(self, seed, seconds, build):
+        self.seed = seed
+        self.seconds = seconds
+        self.work_dir = tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-")
+        self.history = History()
+        self.site = Site(self.history, self.work_dir, build)
+        self.random = random.Random(seed)
+        self.faults = Faults(self.site, self.random)
+        self.callers = [Caller(self.site, number, CALLERS, seed) for number in range(CALLERS)]
+        self.running = []  # (time of its end, name, end)
+        self.lines = []  # what was injected, for the report
+
+    def run(self):
+        """The findings, in the order in which they were made."""
+        try:
+            self.wait_until_ready()
+            for caller in self.callers:
+                caller.start()
+            findings = self.inject()
+            for _, _, end in self.running:
+                end()
+            self.check_recovery()
+            for caller in self.callers:
+                caller.stopped.set()
+            for caller in self.callers:
+                caller.join()
+            findings += self.judge()
+            return list(dict.fromkeys(findings))
+        finally:
+            for caller in self.callers:
+                caller.stopped.set()
+            self.site.stop()
+
+    def wait_until_ready(self):
+        deadline = time.monotonic() + READY_S
+        while not all(instance.ready() for instance in self.site.instances):
+            if time.monotonic() > deadline:
+                raise TimeoutError("the instances are not ready")
+            time.sleep(0.05)
+
+    def inject(self):
+        findings = []
+        started = time.monotonic()
+        next_fault = started + 1.0
+        next_judgement = started + JUDGE_INTERVAL_S
+        while time.monotonic() < started + self.seconds:
+            now = time.monotonic()
+            self.end_due(now, started)
+            if now >= next_fault and len(self.running) < MOST_FAULTS:
+                self.begin(now, started)
+                next_fault = now + self.random.uniform(0.2, 2.0)
+            if now >= next_judgement:
+                findings += self.judge()
+                next_judgement = time.monotonic() + JUDGE_INTERVAL_S
+            time.sleep(0.02)
+        return findings
+
+    def begin(self, now, started):
+        duration = self.random.uniform(0.3, 4.0)
+        fault = self.faults.draw()
+        if fault is not None:
+            name, end = fault
+            self.running.append((now + duration, name, end))
+            self.lines.append(f"{now - started:7.2f} s {name} for {duration:.1f} s")
+
+    def end_due(self, now, started):
+        for fault in [fault for fault in self.running if fault[0] <= now]:
+            self.running.remove(fault)
+            fault[2]()
+            self.lines.append(f"{now - started:7.2f} s {fault[1]} ends")
+
+    def check_recovery(self):
+        deadline = time.monotonic() + RECOVER_S
+        waiting = list(self.site.instances)
+        while waiting and time.monotonic() < deadline:
+            waiting = [instance for instance in waiting if not serves(self.site, instance)]
+            time.sleep(0.1)
+        for instance in self.site.instances:
+            self.history.recovered[instance.name] = instance not in waiting
+
+    def judge(self):
+        return judge(self.history.snapshot(self.site.log), RATE, BURST)
+
+    def summary(self):
+        outcomes = collections.Counter(statement.error or "ok"
+                                       for statement in self.history.statements)
+        return ", ".join(f"{name} {count}" for name, count in outcomes.most_common())
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, action="append", help="a seed to run (repeatable)")
+    parser.add_argument("--fresh", type=int, default=0, help="this many random seeds besides")
+    parser.add_argument("--seconds", type=float, default=20.0, help="time of faults for each seed")
+    parser.add_argument("--build", default=os.environ.get("ORIOLE_BUILD",
+                                                          os.path.join(ROOT, "build")))
+    options = parser.parse_args()
+    seeds = (options.seed or []) + [random.SystemRandom().randrange(1, 10**9)
+                                    for _ in range(options.fresh)]
+    failed = []
+    for seed in seeds:
+        soak = Soak(seed, options.seconds, options.build)
+        findings = soak.run()
+        print(f"seed {seed}: {len(findings)} findings; {soak.summary()}", flush=True)
+        if not findings:
+            shutil.rmtree(soak.work_dir, ignore_errors=True)
+            continue
+        failed.append(seed)
+        with open(os.path.join(soak.work_dir, "faults.log"), "w", encoding="utf-8") as out:
+            out.write("\n".join(soak.lines + findings) + "\n")
+        for finding in findings[:10]:
+            print(f"  {finding}")
+        print(f"  logs: {soak.work_dir}")
+    print(f"soak: {len(seeds) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
