--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -57,7 +57,11 @@
                     asio::post(m_io, [this, moved = std::move(report)] { on_traffic(moved); });
                 }),
       m_changer(m_io.get_executor(), m_knowledge, *m_store, *m_authority, platform.connector(), log,
-                metrics, [this] { publish(); }),
+                metrics,
+                [this] {
+                    m_peers.ask_all(); // The other electors have to know how old the order is.
+                    publish();
+                }),
       m_peers(m_io.get_executor(), m_knowledge, settings.peers, log),
       m_admin(links::make_http_admin_server(m_io.get_executor(), settings.admin, *this)) {}
 
--- a/src/entry/internal/fleet_knowledge.cpp
+++ b/src/entry/internal/fleet_knowledge.cpp
@@ -14,18 +14,6 @@
 /// A primary that drains or is evacuated is used until another one leads, at most this long: the
 /// shortest bound is 5 s, and the view takes a moment to reach the traffic thread.
 constexpr clock::duration leaving_primary_use = 3500ms;
-/// Other instances' evidence is this long of use.
-constexpr clock::duration evidence_life = 1500ms;
-/// An instance whose entry has not changed for so long, while this one's has, is dead. Three
-/// intervals: the store may turn single instances away for a while.
-constexpr clock::duration silent_instance = 32s;
-/// The same for one that has never been in touch with this instance: it left its entry behind.
-constexpr clock::duration silent_stranger = 16s;
-
-/// In the messages that carry it, the age of a missing time.
-clock::duration age(clock::time_point then, clock::time_point now) {
-    return std::max(now - then, clock::duration::zero());
-}
 
 } // namespace
 
@@ -33,7 +21,9 @@
     : m_own(std::move(own)),
       m_log(log),
       m_directory(fleet::make_server_directory()),
-      m_rates(m_own) {
+      m_instances(m_own),
+      m_rates(m_own),
+      m_orders(m_own.id) {
     update_roles();
 }
 
@@ -112,30 +102,15 @@
 
 void fleet_knowledge::take_instances(const store_page<fleet::listed_instance>& page,
                                      clock::time_point now) {
-    std::map<instance_id, seen_instance> next;
-    for (const auto& object : page.objects) {
-        if (!object.value) {
-            continue;
-        }
-        const auto& listed = *object.value;
-        const auto known = m_instances.find(listed.id);
-        const bool grown = known == m_instances.end() ||
-                           known->second.listed.incarnation != listed.incarnation ||
-                           known->second.listed.beats != listed.beats;
-        next[listed.id] = {listed, grown ? now : known->second.beat_at};
-    }
-    const auto own = next.find(m_own.id);
-    if (own != next.end() && own->second.listed.incarnation == m_own.incarnation) {
-        m_own_beat_at = own->second.beat_at;
-    }
-    m_instances = std::move(next);
-    m_instances_known = true;
-    update_peers();
+    m_instances.take(page, now);
+    if (m_instances.take_changed()) {
+        update_roles();
+    }
 }
 
 void fleet_knowledge::take_traffic(const traffic_report& report) {
+    m_evidence.take_traffic(report);
     for (const auto& [service, seen] : report.services) {
-        m_traffic[service] = seen;
         if (!seen.proved.empty()) {
             primary_of(service).proved(seen.proved, seen.proof.position);
         }
@@ -148,23 +123,14 @@
     if (asked) {
         m_rates.borrowed(report.from, report.lent, *asked);
     }
-    m_heard.insert(report.from);
+    m_instances.heard(report.from, report.incarnation);
+    if (m_instances.take_changed()) {
+        update_roles();
+    }
     if (report.leaving) {
         mark_ended(report.from, report.incarnation);
     }
-    const auto sender = m_instances.find(report.from);
-    const bool listed = sender != m_instances.end();
-    const auto ended = m_ended.find(report.from);
-    const bool over = ended != m_ended.end() && ended->second == report.incarnation;
-    if (listed && !over && sender->second.listed.incarnation != report.incarnation) {
-        // It has started anew, usually at the same addresses; the list will tell.
-        sender->second.listed.incarnation = report.incarnation;
-        m_unlisted = true;
-        update_peers();
-    }
-    m_unlisted = m_unlisted || !listed;
-    if (listed && sender->second.listed.zone == m_own.zone &&
-        fleet::holds(m_roles->watchers, report.from)) {
+    if (m_instances.in_own_zone(report.from) && fleet::holds(m_roles->watchers, report.from)) {
         m_isolation_heard[report.from] = {report.isolated, now};
     }
     take_configuration(report.configuration, report.known.configuration, "peer");
@@ -185,7 +151,10 @@
         take_evacuations(page, true, now);
     }
     for (const auto& [service, seen] : report.services) {
-        take_evidence(report.from, service, seen, now);
+        m_evidence.take_report(report.from, service, seen, now);
+        if (seen.order != 0) {
+            m_orders.seen(service, seen.order, now - seen.order_age);
+        }
         if (seen.position) {
             primary_of(service).proved(seen.proved, *seen.position);
             if (asked) {
@@ -203,24 +172,11 @@
     report.wanted_loans = m_rates.kept_groups();
     report.known = m_known;
     report.isolated = m_isolated;
-    const auto boot_now = boot_clock().now();
-    for (const auto& [service, seen] : m_traffic) {
-        const bool used = seen.evidence.answered || seen.evidence.failing_since;
-        if (!used && seen.proved.empty()) {
-            continue; // The service's statements go through another instance.
-        }
-        peer_service_report& out = report.services[service];
-        out.primary = seen.evidence.server;
-        if (seen.evidence.answered) {
-            out.answered = age(*seen.evidence.answered, now);
-        }
-        if (seen.evidence.failing_since) {
-            out.failing = age(*seen.evidence.failing_since, now);
-        }
-        if (!seen.proved.empty()) {
-            out.proved = seen.proved;
-            out.position = seen.proof.position;
-            out.proof_age = age(seen.proof.asked, boot_now);
+    report.services = m_evidence.reports(now);
+    for (auto& [service, out] : report.services) {
+        if (const auto order = m_orders.newest(service)) {
+            out.order = order->revision;
+            out.order_age = std::max(now - order->at, clock::duration::zero());
         }
     }
     if (peer_knows == nullptr) {
@@ -252,9 +208,11 @@
 }
 
 void fleet_knowledge::mark_ended(const instance_id& peer, std::uint64_t incarnation) {
-    m_ended[peer] = incarnation;
+    m_instances.mark_ended(peer, incarnation);
     m_rates.released(peer, {});
-    update_peers();
+    if (m_instances.take_changed()) {
+        update_roles();
+    }
 }
 
 std::vector<std::pair<service_name, fleet::primary_change>>
@@ -311,36 +269,9 @@
     return m_config->accounts.front().name;
 }
 
-bool fleet_knowledge::primary_fails() const {
-    return std::any_of(m_traffic.begin(), m_traffic.end(), [](const auto& item) {
-        return item.second.evidence.failing_since.has_value();
-    });
-}
-
 bool fleet_knowledge::most_primaries_fail(clock::time_point now) const {
-    std::map<service_name, bool> failing;
-    const auto add = [&failing](const service_name& service,
-                                const fleet::primary_evidence& evidence) {
-        if (evidence.failing_since || evidence.answered) {
-            auto& fails = failing[service];
-            fails = fails || evidence.failing_since.has_value();
-        }
-    };
-    for (const auto& [service, seen] : m_traffic) {
-        add(service, seen.evidence);
-    }
-    for (const auto& [service, heard] : m_peer_evidence) {
-        for (const auto& [id, known] : heard) {
-            const auto peer = m_instances.find(id);
-            if (peer != m_instances.end() && peer->second.listed.zone == m_own.zone &&
-                now - known.heard < evidence_life) {
-                add(service, known.evidence);
-            }
-        }
-    }
-    const auto count =
-        std::count_if(failing.begin(), failing.end(), [](const auto& item) { return item.second; });
-    return count > 0 && 2 * static_cast<std::size_t>(count) >= failing.size();
+    const auto near = [this](const instance_id& id) { return m_instances.in_own_zone(id); };
+    return m_evidence.most_primaries_fail(near, now);
 }
 
 std::optional<bool> fleet_knowledge::zone_isolated(clock::time_point now) const {
@@ -348,7 +279,7 @@
         return std::nullopt;
     }
     return std::any_of(m_isolation_heard.begin(), m_isolation_heard.end(), [now](const auto& item) {
-        return item.second.isolated && now - item.second.heard < evidence_life;
+        return item.second.isolated && now - item.second.heard < evidence_record::life;
     });
 }
 
@@ -364,7 +295,7 @@
         return view;
     }
     for (const auto& account : m_config->accounts) {
-        if (m_instances_known) {
+        if (m_instances.known()) {
             view.shares[account.name] = m_rates.share_of(account, boot_clock().now());
         }
     }
@@ -374,7 +305,7 @@
         }
     }
     view.roles = m_roles;
-    view.ready = m_instances_known && !view.servers.empty();
+    view.ready = m_instances.known() && !view.servers.empty();
     return view;
 }
 
@@ -399,22 +330,6 @@
     }
 }
 
-void fleet_knowledge::update_peers() {
-    std::vector<fleet::listed_instance> live;
-    for (const auto& [id, seen] : m_instances) {
-        const auto limit = m_heard.contains(id) ? silent_instance : silent_stranger;
-        const bool silent = m_own_beat_at && *m_own_beat_at - seen.beat_at > limit;
-        const auto ended = m_ended.find(id);
-        const bool over = ended != m_ended.end() && ended->second == seen.listed.incarnation;
-        if (id != m_own.id && !silent && !over) {
-            live.push_back(seen.listed);
-            live.back().beats = 0; // They say only whether the instance lives.
-        }
-    }
-    m_peers = std::move(live);
-    update_roles();
-}
-
 void fleet_knowledge::update_roles() {
     std::set<service_name> services;
     if (m_config != nullptr) {
@@ -422,27 +337,13 @@
             services.insert(service);
         }
     }
-    auto roles = fleet::assign_roles(m_own, m_peers, services);
+    auto roles = fleet::assign_roles(m_own, peers(), services);
     if (m_roles != nullptr && roles == *m_roles) {
         return;
     }
     m_roles = std::make_shared<const fleet::role_assignment>(std::move(roles));
     m_roles_changed = true;
-    m_rates.set_roles(*m_roles, m_peers.size() + 1, boot_clock().now());
-}
-
-void fleet_knowledge::take_evidence(const instance_id& from, const service_name& service,
-                                    const peer_service_report& report, clock::time_point now) {
-    peer_evidence& known = m_peer_evidence[service][from];
-    known.heard = now;
-    known.evidence = {};
-    known.evidence.server = report.primary;
-    if (report.answered && *report.answered < evidence_life) {
-        known.evidence.answered = now - *report.answered;
-    }
-    if (report.failing) {
-        known.evidence.failing_since = now - *report.failing;
-    }
+    m_rates.set_roles(*m_roles, peers().size() + 1, boot_clock().now());
 }
 
 fleet::primary_situation fleet_knowledge::situation(const service_name& service,
@@ -457,18 +358,8 @@
     for (const auto& [zone, since] : m_evacuated) {
         result.evacuated_zones.insert(zone);
     }
-    const auto own = m_traffic.find(service);
-    if (own != m_traffic.end()) {
-        result.own = own->second.evidence;
-    }
-    const auto peers = m_peer_evidence.find(service);
-    if (peers != m_peer_evidence.end()) {
-        for (const auto& [id, known] : peers->second) {
-            if (now - known.heard < evidence_life) {
-                result.peers[id] = known.evidence;
-            }
-        }
-    }
+    result.own = m_evidence.own_of(service);
+    result.peers = m_evidence.peers_of(service, now);
     const auto electors = m_roles->electors.find(service);
     if (electors != m_roles->electors.end()) {
         result.instances = electors->second;
@@ -497,7 +388,7 @@
             since == m_leaving_since.end() || now - since->second < leaving_primary_use;
         entry.evacuated = !(entry.primary && fresh);
     }
-    entry.connections = fleet::connections_for(m_own, m_peers, server, entry.primary,
+    entry.connections = fleet::connections_for(m_own, peers(), server, entry.primary,
                                                limits->second.max_connections);
     return entry;
 }
--- a/src/entry/internal/fleet_knowledge.h
+++ b/src/entry/internal/fleet_knowledge.h
@@ -4,8 +4,11 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
+#include "entry/internal/evidence_record.h"
+#include "entry/internal/instance_registry.h"
 #include "entry/types/peer_report.h"
 #include "entry/types/traffic_report.h"
+#include "fleet/order_lease.h"
 #include "fleet/primary_watch.h"
 #include "fleet/rate_lending.h"
 #include "fleet/server_directory.h"
@@ -66,6 +69,17 @@
 
     [[nodiscard]] fleet::primary_watch& primary_of(const service_name& service);
 
+    /// Whether this instance may give the next order after `last`, which the store holds now.
+    [[nodiscard]] bool may_order(const fleet::promotion_order& last, clock::time_point now) {
+        return m_orders.may_order(last, now);
+    }
+
+    /// This instance has given the order.
+    void note_order(const fleet::promotion_order& order, clock::time_point now) {
+        m_orders.seen(order.service, order.revision, now);
+        m_holders[order.service] = order.holder;
+    }
+
     void set_last_holder(const service_name& service, const instance_id& holder) {
         m_holders[service] = holder;
     }
@@ -74,7 +88,7 @@
 
     /// The other instances that live, as far as is known.
     [[nodiscard]] const std::vector<fleet::listed_instance>& peers() const noexcept {
-        return m_peers;
+        return m_instances.live();
     }
 
     /// The instances with which this one exchanges reports.
@@ -95,7 +109,7 @@
     [[nodiscard]] account_name any_account() const;
 
     /// Whether a primary fails here, so that the others should be asked at once.
-    [[nodiscard]] bool primary_fails() const;
+    [[nodiscard]] bool primary_fails() const { return m_evidence.primary_fails(); }
 
     /// Whether the primaries of at least half of the services that the zone uses fail in it.
     [[nodiscard]] bool most_primaries_fail(clock::time_point now) const;
@@ -113,7 +127,7 @@
     [[nodiscard]] bool take_roles_changed() { return std::exchange(m_roles_changed, false); }
 
     /// Whether an instance has reported that is not listed yet, so that the list is out of date.
-    [[nodiscard]] bool take_unlisted() { return std::exchange(m_unlisted, false); }
+    [[nodiscard]] bool take_unlisted() { return m_instances.take_unlisted(); }
 
     /// Proofs that were learnt from other instances since the last call.
     [[nodiscard]] std::map<service_name, sessions::position_proof> take_proofs() {
@@ -121,11 +135,6 @@
     }
 
 private:
-    struct seen_instance {
-        fleet::listed_instance listed;
-        clock::time_point beat_at; ///< when its number of beats last grew
-    };
-
     struct report_number {
         std::uint64_t incarnation = 0;
         std::uint64_t number = 0;
@@ -136,17 +145,9 @@
         clock::time_point heard;
     };
 
-    struct peer_evidence {
-        fleet::primary_evidence evidence;
-        clock::time_point heard;
-    };
-
     void update_watches();
-    void update_peers();
     void update_roles();
     void take_released_loans(const peer_report& report);
-    void take_evidence(const instance_id& from, const service_name& service,
-                       const peer_service_report& report, clock::time_point now);
     [[nodiscard]] fleet::primary_situation situation(const service_name& service,
                                                      clock::time_point now) const;
     [[nodiscard]] std::optional<fleet::usable_server> usable(const fleet::listed_server& server,
@@ -161,25 +162,19 @@
     std::vector<fleet::listed_server> m_servers;
     std::map<server_name, clock::time_point> m_leaving_since;
     std::map<zone_name, clock::time_point> m_evacuated; ///< since when
-    std::map<instance_id, seen_instance> m_instances;
-    std::optional<clock::time_point> m_own_beat_at;
-    std::vector<fleet::listed_instance> m_peers;
+    instance_registry m_instances; ///< without them the parts of the rates are not known
+    evidence_record m_evidence;
     std::shared_ptr<const fleet::role_assignment> m_roles;
     fleet::rate_lending m_rates;
     std::map<service_name, std::unique_ptr<fleet::primary_watch>> m_watches;
     std::map<service_name, instance_id> m_holders;
-    std::map<service_name, service_report> m_traffic;
-    std::map<service_name, std::map<instance_id, peer_evidence>> m_peer_evidence;
+    fleet::order_lease m_orders;
     std::map<service_name, sessions::position_proof> m_learnt;
-    std::map<instance_id, std::uint64_t> m_ended; ///< starts of instances that have ended
-    std::set<instance_id> m_heard; ///< instances that have reported since this one started
     std::map<instance_id, isolation_report> m_isolation_heard; ///< from the own zone
     std::map<instance_id, report_number> m_numbers;            ///< of the newest report
     std::uint64_t m_number = 0;                                ///< of this instance's last report
     bool m_roles_changed = false;
     bool m_isolated = false;
-    bool m_unlisted = false;
-    bool m_instances_known = false; ///< without them the parts of the rates are not known
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -22,8 +22,6 @@
 /// Every instance is asked once in this time: short against the bound on a new configuration,
 /// which an instance that the store turns away learns this way.
 constexpr clock::duration round = 1s;
-/// An instance that usually asks and has not for so long is asked.
-constexpr clock::duration silence_limit = 2500ms;
 constexpr clock::duration call_limit = 500ms;
 
 } // namespace
@@ -44,7 +42,7 @@
         const auto peers = m_knowledge.partners();
         const auto gap = round / static_cast<int>(peers.size() + 1);
         for (const auto& peer : peers) {
-            if (!has_turn(peer, steady_clock().now())) {
+            if (!has_turn(peer)) {
                 continue;
             }
             asio::co_spawn(m_executor, ask(peer), asio::detached);
@@ -101,19 +99,14 @@
 asio::awaitable<std::string> peer_exchange::answer(std::string text) {
     const auto now = steady_clock().now();
     const auto question = decode_report(text);
-    m_asked_by[question.from] = now;
     m_knowledge.take_report(question, std::nullopt, now);
     auto report = m_knowledge.report_for(&question.known, now);
     report.lent = m_knowledge.lend(question, boot_clock().now());
     co_return encode_report(report);
 }
 
-bool peer_exchange::has_turn(const fleet::listed_instance& peer, clock::time_point now) const {
-    if (m_knowledge.is_source(peer.id) || m_knowledge.own() < peer.id) {
-        return true;
-    }
-    const auto asked = m_asked_by.find(peer.id);
-    return asked == m_asked_by.end() || now - asked->second > silence_limit;
+bool peer_exchange::has_turn(const fleet::listed_instance& peer) const {
+    return m_knowledge.is_source(peer.id) || m_knowledge.primary_fails();
 }
 
 bool peer_exchange::lost_other_zones(const zone_name& own_zone) const {
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -41,8 +41,8 @@
     [[nodiscard]] boost::asio::awaitable<void> ask(fleet::listed_instance peer);
     [[nodiscard]] boost::asio::awaitable<void> exchange(const fleet::listed_instance& peer);
     [[nodiscard]] boost::asio::awaitable<std::string> answer(std::string text);
-    /// Of two instances one asks, unless the other one may lack what the first knows.
-    [[nodiscard]] bool has_turn(const fleet::listed_instance& peer, clock::time_point now) const;
+    /// Evidence of other electors is needed only while a primary fails here.
+    [[nodiscard]] bool has_turn(const fleet::listed_instance& peer) const;
     void set_reachable(const instance_id& peer, bool reachable, const std::string& reason);
 
     boost::asio::any_io_executor m_executor;
@@ -52,7 +52,6 @@
     std::unique_ptr<links::peer_server> m_server;
     std::set<instance_id> m_asking;
     std::map<instance_id, bool> m_reachable;
-    std::map<instance_id, clock::time_point> m_asked_by; ///< when an instance last asked this one
     bool m_leaving = false;
 };
 
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -22,6 +22,9 @@
         out["position"] = encode_position(*report.position);
         out["age"] = encode_duration(report.proof_age);
     }
+    if (report.order != 0) {
+        out["order"] = {report.order, encode_duration(report.order_age)};
+    }
     return out;
 }
 
@@ -39,6 +42,10 @@
         report.position = decode_position(in.at("position"));
         report.proof_age = decode_duration(in.at("age"));
     }
+    if (in.contains("order")) {
+        report.order = in.at("order").at(0).get<std::uint64_t>();
+        report.order_age = decode_duration(in.at("order").at(1));
+    }
     return report;
 }
 
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -25,6 +25,8 @@
 constexpr clock::duration catch_up_pause = 60ms;
 /// A server that the platform refused to promote is passed over for this long.
 constexpr clock::duration refusal_memory = 2s;
+/// Pause while another instance's last order is young.
+constexpr clock::duration lease_pause = 1s;
 /// Pause after a failed attempt: the store and the platform are priced by the call.
 constexpr clock::duration failure_pause = 300ms;
 
@@ -91,6 +93,15 @@
         m_on_change();
         co_return;
     }
+    if (!m_knowledge.may_order(order, steady_clock().now())) {
+        m_log.write(log_entry("primary_change")
+                        .add("service", service.str())
+                        .add("holder", order.holder.str())
+                        .add("fence", order.revision)
+                        .add("outcome", "holder_has_the_lease"));
+        co_await pause(m_executor, lease_pause);
+        co_return;
+    }
     const auto target = co_await choose(change);
     if (!target) {
         m_log.write(log_entry("primary_change")
@@ -116,6 +127,7 @@
     const auto result = co_await m_authority.promote(*taken);
     m_promotions.add();
     const bool accepted = result == promotion_result::accepted;
+    m_knowledge.note_order(*taken, steady_clock().now());
     m_log.write(
         log_entry("primary_change")
             .add("service", service.str())
@@ -126,7 +138,6 @@
             .add("outcome", accepted ? "accepted" : "refused"));
     if (accepted) {
         watch.promoted(*target);
-        m_knowledge.set_last_holder(service, m_knowledge.own());
     } else {
         m_refused[*target] = steady_clock().now() + refusal_memory;
     }
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -136,7 +136,7 @@
 
 int traffic_context::admit_here(const account_name& account, int operations) {
     const auto now = steady_clock().now();
-    for (const int amount : {operations, 1}) {
+    for (const int amount : {std::clamp(operations, 1, most_admitted_ahead), 1}) {
         if (m_limiter->try_spend(account, amount, now).is_admitted()) {
             return amount;
         }
--- a/src/entry/tests/forwarding_executor_test.cpp
+++ b/src/entry/tests/forwarding_executor_test.cpp
@@ -73,8 +73,8 @@
         m_route.statement_timeout = 800ms;
         m_route.latency_target = 400ms;
         std::vector<fleet::listed_instance> gateways(2);
-        gateways[0].id = first;
-        gateways[1].id = second;
+        gateways[0].id = m_first;
+        gateways[1].id = m_second;
         m_executor.set_gateways(gateways);
     }
 
@@ -102,8 +102,8 @@
         return run_coroutine(m_io, m_transaction->run_next(make(text)));
     }
 
-    const instance_id first{"g1"};
-    const instance_id second{"g2"};
+    const instance_id m_first{"g1"};
+    const instance_id m_second{"g2"};
     boost::asio::io_context m_io;
     fleet::route m_route;
     fake_gateways m_gateways;
@@ -114,41 +114,41 @@
 
 // Guards against every instance opening connections of its own.
 TEST_F(forwarding_executor_test, statement_runs_at_the_first_gateway) {
-    EXPECT_EQ(alone("READ a").gateway, first);
+    EXPECT_EQ(alone("READ a").gateway, m_first);
     EXPECT_EQ(m_local.runs, 0);
 }
 
 // Guards against statements that fail with a gateway that has ended or is leaving.
 TEST_F(forwarding_executor_test, refused_statement_runs_at_the_next_gateway) {
-    m_gateways.refusing = {first};
-    EXPECT_EQ(alone("WRITE a b").gateway, second);
-    EXPECT_EQ(begin("WRITE a b").gateway, second);
+    m_gateways.refusing = {m_first};
+    EXPECT_EQ(alone("WRITE a b").gateway, m_second);
+    EXPECT_EQ(begin("WRITE a b").gateway, m_second);
 }
 
 // Guards against an instance that is cut off from the others and serves nobody.
 TEST_F(forwarding_executor_test, instance_that_reaches_no_gateway_runs_statements_itself) {
-    m_gateways.lost = {first, second};
+    m_gateways.lost = {m_first, m_second};
     EXPECT_EQ(alone("READ a").answer.code, answer_code::ok);
     EXPECT_EQ(m_local.runs, 1);
 }
 
 // Guards against a write that takes effect twice: the gateway may have run it.
 TEST_F(forwarding_executor_test, write_of_a_silent_gateway_is_in_doubt_and_not_repeated) {
-    m_gateways.silent = {first};
+    m_gateways.silent = {m_first};
     EXPECT_EQ(alone("WRITE a b").answer.code, answer_code::in_doubt);
-    EXPECT_EQ(m_gateways.called, std::vector<instance_id>{first});
+    EXPECT_EQ(m_gateways.called, std::vector<instance_id>{m_first});
     EXPECT_EQ(m_local.runs, 0);
 }
 
 // Guards against a read that fails with its gateway.
 TEST_F(forwarding_executor_test, read_of_a_silent_gateway_runs_at_the_next) {
-    m_gateways.silent = {first};
-    EXPECT_EQ(alone("READ a").gateway, second);
+    m_gateways.silent = {m_first};
+    EXPECT_EQ(alone("READ a").gateway, m_second);
 }
 
 // Guards against "in doubt" for a transaction that nobody can commit any more.
 TEST_F(forwarding_executor_test, transaction_whose_beginning_has_no_answer_is_aborted) {
-    m_gateways.silent = {first};
+    m_gateways.silent = {m_first};
     EXPECT_EQ(begin("WRITE a b").answer.code, answer_code::aborted);
     EXPECT_EQ(m_transaction, nullptr);
 }
@@ -156,16 +156,16 @@
 // Guards against a promise that nothing is kept for a commit that may have been.
 TEST_F(forwarding_executor_test, commit_without_an_answer_is_in_doubt) {
     ASSERT_EQ(begin("WRITE a b").answer.code, answer_code::ok);
-    m_gateways.silent = {first};
+    m_gateways.silent = {m_first};
     const auto outcome = next("COMMIT");
     EXPECT_EQ(outcome.answer.code, answer_code::in_doubt);
     EXPECT_TRUE(outcome.transaction_over);
 }
 
-// Guards against the same for a first statement that is a commit.
+// Guards against "in doubt" for a transaction that has changed nothing.
 TEST_F(forwarding_executor_test, empty_commit_of_a_transaction_that_only_read_is_aborted) {
     ASSERT_EQ(begin("READ a").answer.code, answer_code::ok);
-    m_gateways.silent = {first};
+    m_gateways.silent = {m_first};
     EXPECT_EQ(next("COMMIT").answer.code, answer_code::aborted);
 }
 
--- a/src/entry/tests/peer_report_codec_test.cpp
+++ b/src/entry/tests/peer_report_codec_test.cpp
@@ -24,6 +24,8 @@
         service.proved = server_name("s");
         service.position = machines::log_position(2, 9);
         service.proof_age = 250us;
+        service.order = 12;
+        service.order_age = 4s;
         report.services[service_name("db")] = service;
         fleet::listed_server server;
         server.id = server_name("s");
--- a/src/entry/types/peer_report.h
+++ b/src/entry/types/peer_report.h
@@ -22,6 +22,8 @@
     server_name proved;                             ///< server of the newest proof
     std::optional<machines::log_position> position; ///< of the newest proof
     clock::duration proof_age{};                    ///< never less than the true age
+    std::uint64_t order = 0;     ///< revision of the last order to change the primary; 0: not known
+    clock::duration order_age{}; ///< of that order, at least
 
     friend bool operator==(const peer_service_report&, const peer_service_report&) = default;
 };
