--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -121,25 +121,30 @@
                         .add("outcome", "another_instance_acts"));
         co_return;
     }
+    co_await carry_out(std::move(change), *taken);
+}
+
+asio::awaitable<void> primary_changer::carry_out(fleet::primary_change change,
+                                                 fleet::promotion_order order) {
     if (change.reason == fleet::change_reason::planned && !change.from.empty()) {
-        co_await step_down(service, change, *target);
+        co_await step_down(order.service, change, order.target);
     }
-    const auto result = co_await m_authority.promote(*taken);
+    const auto result = co_await m_authority.promote(order);
     m_promotions.add();
     const bool accepted = result == promotion_result::accepted;
-    m_knowledge.note_order(*taken, steady_clock().now());
+    m_knowledge.note_order(order, steady_clock().now());
     m_log.write(
         log_entry("primary_change")
-            .add("service", service.str())
+            .add("service", order.service.str())
             .add("from", change.from.str())
-            .add("to", target->str())
+            .add("to", order.target.str())
             .add("reason", change.reason == fleet::change_reason::planned ? "planned" : "lost")
-            .add("fence", taken->revision)
+            .add("fence", order.revision)
             .add("outcome", accepted ? "accepted" : "refused"));
     if (accepted) {
-        watch.promoted(*target);
+        m_knowledge.primary_of(order.service).promoted(order.target);
     } else {
-        m_refused[*target] = steady_clock().now() + refusal_memory;
+        m_refused[order.target] = steady_clock().now() + refusal_memory;
     }
     m_on_change();
 }
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -40,6 +40,9 @@
                                                    fleet::primary_change change);
     [[nodiscard]] boost::asio::awaitable<void> bring_about(service_name service,
                                                            fleet::primary_change change);
+    /// Precondition: the store holds the order as this instance's.
+    [[nodiscard]] boost::asio::awaitable<void> carry_out(fleet::primary_change change,
+                                                         fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<fleet::promotion_order>
     current_order(service_name service);
     [[nodiscard]] boost::asio::awaitable<std::optional<fleet::promotion_order>>
