--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -111,7 +111,7 @@
     auto follower = std::make_shared<store_follower<Value>>(
         m_io.get_executor(), kind, name, m_log, std::move(on_page),
         [this](bool reachable) { on_store_health(reachable); },
-        [this] { return m_fleet.watches_store(); });
+        [this] { return m_fleet.watches_store(steady_clock().now()); });
     asio::co_spawn(
         m_io, [follower] { return follower->run(); },
         [follower](const std::exception_ptr& failure) {
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -15,6 +15,9 @@
 /// primary. Its use must end within the shortest specified limit of 5 s, less the delay until the
 /// view reaches the traffic thread.
 constexpr clock::duration max_leaving_primary_use = 3500ms;
+/// An instance that no watcher of its zone has answered for this long watches the store itself. It
+/// spans two polls, and leaves most of the shortest specified limit of 3 s for the change itself.
+constexpr clock::duration watcher_answer_lifetime = 1800ms;
 
 } // namespace
 
@@ -138,6 +141,9 @@
     if (m_instances.in_own_zone(report.from) &&
         fleet::contains_instance(m_roles->watchers, report.from)) {
         m_isolation_reports[report.from] = {report.isolated, now};
+        if (asked) {
+            m_watcher_answered_at = now;
+        }
     }
     merge_orders(report, asked);
     update_configuration(report.configuration, report.revisions.configuration, "peer");
@@ -346,8 +352,11 @@
                        });
 }
 
-bool fleet_state::watches_store() const {
-    return m_config == nullptr || fleet::contains_instance(m_roles->watchers, m_own.id);
+bool fleet_state::watches_store(clock::time_point now) const {
+    const bool watcher_answers =
+        m_watcher_answered_at && now - *m_watcher_answered_at < watcher_answer_lifetime;
+    return m_config == nullptr || !watcher_answers ||
+           fleet::contains_instance(m_roles->watchers, m_own.id);
 }
 
 fleet::fleet_view fleet_state::make_view(clock::time_point now) const {
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -150,9 +150,9 @@
         return m_roles->polled_peers.contains(peer);
     }
 
-    /// Returns whether this instance has to watch the store: it is a watcher of its zone, or it has
-    /// no configuration yet.
-    [[nodiscard]] bool watches_store() const;
+    /// Returns whether this instance has to watch the store: it is a watcher of its zone, it has no
+    /// configuration yet, or no watcher of its zone has answered it recently.
+    [[nodiscard]] bool watches_store(clock::time_point now) const;
 
     [[nodiscard]] const instance_id& own() const noexcept { return m_own.id; }
 
@@ -233,6 +233,8 @@
     fleet::promotion_lease m_promotion_leases;
     primary_leases m_leases;
     std::map<service_name, sessions::position_proof> m_peer_proofs;
+    /// When a watcher of this instance's zone last answered a request for its report.
+    std::optional<clock::time_point> m_watcher_answered_at;
     /// Last isolation reports of the watchers in this instance's zone.
     std::map<instance_id, isolation_report> m_isolation_reports;
     /// Sequence number of the newest report, by instance.
--- a/src/entry/tests/fleet_state_test.cpp
+++ b/src/entry/tests/fleet_state_test.cpp
@@ -39,6 +39,22 @@
         static_cast<void>(m_fleet.advance(at(time)));
     }
 
+    /// Lists other instances of this one's zone. Their larger capacity makes them the zone's
+    /// watchers, not this instance.
+    void list_strong_peers() {
+        std::vector<store_entry<fleet::registered_instance>> listed;
+        for (int i = 0; i < strong_peers; ++i) {
+            fleet::registered_instance peer;
+            peer.id = instance_id("peer" + std::to_string(i));
+            peer.zone = zone_name("zone-a");
+            peer.capacity = 1000;
+            listed.push_back({peer.id.str(), 2, false, peer});
+        }
+        m_fleet.update_instances({listed, 2}, at(1s));
+    }
+
+    static constexpr int strong_peers = 6;
+
     const fleet::usable_server& view_of(const std::string& name, clock::duration time) {
         static_cast<void>(m_fleet.advance(at(time)));
         m_view = m_fleet.make_view(at(time));
@@ -151,23 +167,32 @@
     EXPECT_TRUE(m_fleet.consume_unlisted());
 }
 
+// Guards against an instance that misses configurations and evacuations, because it is cut off from
+// the watchers of its zone while the store would answer it.
+TEST_F(fleet_state_test, instance_watches_the_store_while_no_watcher_of_its_zone_answers) {
+    list_strong_peers();
+    EXPECT_TRUE(m_fleet.watches_store(at(1s)));
+    peer_report answer;
+    answer.from = instance_id("peer0");
+    m_fleet.merge_report(answer, std::nullopt, at(2s));
+    EXPECT_TRUE(m_fleet.watches_store(at(2s)));
+    for (int i = 0; i < strong_peers; ++i) {
+        answer.from = instance_id("peer" + std::to_string(i));
+        m_fleet.merge_report(answer, at(2s), at(2s));
+    }
+    EXPECT_FALSE(m_fleet.watches_store(at(2s)));
+    EXPECT_FALSE(m_fleet.watches_store(at(3s)));
+    EXPECT_TRUE(m_fleet.watches_store(at(5s)));
+}
+
 // Guards against an instance in an isolated zone that keeps accepting clients because it uses no
 // primary itself and so cannot detect the isolation.
 TEST_F(fleet_state_test, zone_is_isolated_when_its_watchers_report_it) {
-    std::vector<store_entry<fleet::registered_instance>> listed;
-    for (int i = 0; i < 6; ++i) {
-        fleet::registered_instance peer;
-        peer.id = instance_id("peer" + std::to_string(i));
-        peer.zone = zone_name("zone-a");
-        // The larger capacity makes the peers the zone's watchers, not this instance.
-        peer.capacity = 1000;
-        listed.push_back({peer.id.str(), 2, false, peer});
-    }
-    m_fleet.update_instances({listed, 2}, at(1s));
+    list_strong_peers();
     ASSERT_EQ(m_fleet.zone_isolated(at(1s)), false);
-    for (const auto& peer : listed) {
+    for (int i = 0; i < strong_peers; ++i) {
         peer_report report;
-        report.from = instance_id(peer.name);
+        report.from = instance_id("peer" + std::to_string(i));
         report.isolated = true;
         m_fleet.merge_report(report, std::nullopt, at(2s));
     }
