Renew entries by the size of the fleet and start no watch that is not needed

Change: the renewal interval is 100 ms per instance, from 10 s to 30 s, and the time-outs follow it.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -19,10 +19,6 @@
 using namespace std::chrono_literals;
 
 constexpr clock::duration flush_interval = 200ms;
-/// Interval at which the instance renews its entry in the store. Other instances treat an entry
-/// that has not changed for three intervals as that of a dead instance. Each call to the store is
-/// charged.
-constexpr clock::duration registration_interval = 10s;
 constexpr clock::duration registration_retry = 500ms;
 /// Interval at which the instance checks whether it has to read the promotion orders.
 constexpr clock::duration orders_check_interval = 100ms;
@@ -157,7 +153,7 @@
         const bool first = !m_published.ready;
         const bool listed = registered && co_await list_instances(first ? read_mode::newest
                                                                         : read_mode::allow_stale);
-        co_await pause(listed ? registration_interval : registration_retry);
+        co_await pause(listed ? m_fleet.renewal_interval() : registration_retry);
     }
 }
 
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -355,8 +355,7 @@
 bool fleet_state::watches_store(clock::time_point now) const {
     const bool watcher_answers =
         m_watcher_answered_at && now - *m_watcher_answered_at < watcher_answer_lifetime;
-    return m_config == nullptr || !watcher_answers ||
-           fleet::contains_instance(m_roles->watchers, m_own.id);
+    return !watcher_answers || fleet::contains_instance(m_roles->watchers, m_own.id);
 }
 
 fleet::fleet_view fleet_state::make_view(clock::time_point now) const {
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -139,6 +139,11 @@
         return m_instances.live();
     }
 
+    /// Interval at which this instance renews its entry in the store and lists the others.
+    [[nodiscard]] clock::duration renewal_interval() const {
+        return m_instances.renewal_interval();
+    }
+
     /// The report peers: the instances with which this one exchanges reports.
     [[nodiscard]] const std::vector<fleet::registered_instance>& report_peers() const noexcept {
         return m_roles->report_peers;
@@ -150,8 +155,8 @@
         return m_roles->polled_peers.contains(peer);
     }
 
-    /// Returns whether this instance has to watch the store: it is a watcher of its zone, it has no
-    /// configuration yet, or no watcher of its zone has answered it recently.
+    /// Returns whether this instance has to watch the store: it is a watcher of its zone, or no
+    /// watcher of its zone has answered it recently.
     [[nodiscard]] bool watches_store(clock::time_point now) const;
 
     [[nodiscard]] const instance_id& own() const noexcept { return m_own.id; }
--- a/src/entry/internal/instance_registry.cpp
+++ b/src/entry/internal/instance_registry.cpp
@@ -2,18 +2,32 @@
 
 #include "entry/internal/instance_registry.h"
 
+#include <algorithm>
+
 namespace oriole::entry {
 namespace {
 
 using namespace std::chrono_literals;
 
+constexpr clock::duration min_renewal_interval = 10s;
+/// Limits how long a dead instance that nobody talks to stays in the list.
+constexpr clock::duration max_renewal_interval = 30s;
+/// The instances of a fleet together renew at most one entry per this time, until the maximum
+/// interval is reached.
+constexpr clock::duration renewal_time_per_instance = 100ms;
+
 /// An instance is considered dead when its entry has not been renewed for this long before the last
-/// renewal of this instance's own entry. The limit spans three registration intervals, because the
-/// store may reject a single instance for a while.
-constexpr clock::duration contacted_instance_timeout = 32s;
+/// renewal of this instance's own entry. The limit spans three renewal intervals, because the store
+/// may reject a single instance for a while.
+clock::duration contacted_instance_timeout(clock::duration renewal_interval) {
+    return 3 * renewal_interval + 2s;
+}
+
 /// Shorter limit for an instance that has never reported to this one: its entry is probably left
 /// over from a process that ended without removing it.
-constexpr clock::duration uncontacted_instance_timeout = 16s;
+clock::duration uncontacted_instance_timeout(clock::duration renewal_interval) {
+    return renewal_interval + 6s;
+}
 
 } // namespace
 
@@ -40,6 +54,11 @@
     update_live();
 }
 
+clock::duration instance_registry::renewal_interval() const {
+    const auto by_size = renewal_time_per_instance * static_cast<int>(m_listed.size());
+    return std::clamp<clock::duration>(by_size, min_renewal_interval, max_renewal_interval);
+}
+
 void instance_registry::record_report(const instance_id& from, std::uint64_t incarnation) {
     m_contacted.insert(from);
     const auto sender = m_listed.find(from);
@@ -77,9 +96,10 @@
 
 void instance_registry::update_live() {
     std::vector<fleet::registered_instance> live;
+    const auto interval = renewal_interval();
     for (const auto& [id, seen] : m_listed) {
-        const auto limit =
-            m_contacted.contains(id) ? contacted_instance_timeout : uncontacted_instance_timeout;
+        const auto limit = m_contacted.contains(id) ? contacted_instance_timeout(interval)
+                                                    : uncontacted_instance_timeout(interval);
         const bool timed_out =
             m_own_heartbeat_at && *m_own_heartbeat_at - seen.heartbeat_at > limit;
         if (id != m_own.id && !timed_out && !ended(id, seen.listed.incarnation)) {
--- a/src/entry/internal/instance_registry.h
+++ b/src/entry/internal/instance_registry.h
@@ -34,6 +34,11 @@
         return m_live;
     }
 
+    /// Interval at which each instance renews its entry in the store. It grows with the number of
+    /// instances, so that the renewals of a large fleet do not load the store more than those of a
+    /// small one.
+    [[nodiscard]] clock::duration renewal_interval() const;
+
     /// Returns whether live() has changed since the last call.
     [[nodiscard]] bool consume_changed() { return std::exchange(m_changed, false); }
 
--- a/src/entry/internal/store_follower.h
+++ b/src/entry/internal/store_follower.h
@@ -81,6 +81,9 @@
             set_reachable(true, "listed");
             m_revision = page.revision;
             m_on_page(page, true);
+            // After a start, the list of instances, which tells whether this one has to watch,
+            // arrives about now. A watch that is not needed would wait for its whole time.
+            co_await pause();
         }
         while (m_should_follow()) {
             auto page = co_await m_kind.changes_since(m_revision, watch_timeout);
--- /dev/null
+++ b/src/entry/tests/instance_registry_test.cpp
@@ -0,0 +1,70 @@
+#include "entry/internal/instance_registry.h"
+
+#include <gtest/gtest.h>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+class instance_registry_test : public testing::Test {
+protected:
+    static clock::time_point at(clock::duration time) { return clock::time_point(1h + time); }
+
+    static fleet::registered_instance instance(const std::string& name, std::uint64_t heartbeats) {
+        fleet::registered_instance instance;
+        instance.id = instance_id(name);
+        instance.zone = zone_name("zone");
+        instance.incarnation = 1;
+        instance.heartbeats = heartbeats;
+        return instance;
+    }
+
+    /// Lists this instance with the given heartbeat and `others` that never renew their entries.
+    void list(int others, std::uint64_t own_heartbeats, clock::duration time) {
+        store_page<fleet::registered_instance> page;
+        page.objects.push_back({"own", 1, false, instance("own", own_heartbeats)});
+        for (int i = 0; i < others; ++i) {
+            const auto name = "other" + std::to_string(i);
+            page.objects.push_back({name, 1, false, instance(name, 1)});
+        }
+        m_registry.update(page, at(time));
+    }
+
+    instance_registry m_registry{instance("own", 1)};
+};
+
+// Guards against calls to the store that grow with the square of the fleet's size, and against a
+// small fleet that notices a dead instance late.
+TEST_F(instance_registry_test, renewal_interval_grows_with_the_fleet_up_to_a_limit) {
+    EXPECT_EQ(m_registry.renewal_interval(), 10s);
+    list(80, 1, 0s);
+    EXPECT_EQ(m_registry.renewal_interval(), 10s);
+    list(199, 1, 1s);
+    EXPECT_EQ(m_registry.renewal_interval(), 20s);
+    list(2000, 1, 2s);
+    EXPECT_EQ(m_registry.renewal_interval(), 30s);
+}
+
+// Guards against a large fleet whose instances are all taken for dead between two renewals.
+TEST_F(instance_registry_test, entries_live_longer_than_a_renewal_interval) {
+    list(299, 1, 0s);
+    list(299, 2, 30s);
+    EXPECT_EQ(m_registry.live().size(), 299U);
+    list(299, 3, 60s);
+    EXPECT_TRUE(m_registry.live().empty());
+}
+
+// Guards against an instance that has reported and is taken for dead because the store rejected two
+// of its renewals.
+TEST_F(instance_registry_test, contacted_instance_lives_through_missed_renewals) {
+    list(1, 1, 0s);
+    m_registry.record_report(instance_id("other0"), 1);
+    list(1, 2, 30s);
+    EXPECT_EQ(m_registry.live().size(), 1U);
+    list(1, 3, 40s);
+    EXPECT_TRUE(m_registry.live().empty());
+}
+
+} // namespace
+} // namespace oriole::entry
