Count a server that answers nothing until the time limit as failing

Cause: when a statement timed out, the evidence against its server ended with its connection. A service with one client, whose statements time out one after the other, never changed its primary: found by the process test of a primary that is lost while other instances are paused. Change: a timed-out statement marks its server as failing from the time it was sent, unless the server answered another connection meanwhile.

--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -69,6 +69,7 @@
             result.status = exchange_status::answered;
             m_pool.mark_answered(m_connection, steady_clock().now());
         } catch (const server_timeout&) {
+            m_pool.mark_timed_out(m_connection, steady_clock().now());
             result.status =
                 m_statement_sent ? exchange_status::timed_out : exchange_status::not_run;
             result.answer.code = answer_code::timed_out;
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -161,6 +161,16 @@
     m_failing_since.reset();
 }
 
+void server_pool::mark_timed_out(const pooled_connection& connection, clock::time_point now) {
+    if (!connection.waiting || (m_last_answer && *m_last_answer >= *connection.waiting_since)) {
+        return;
+    }
+    if (!m_failing_since || *connection.waiting_since < *m_failing_since) {
+        m_failing_since = *connection.waiting_since;
+    }
+    m_retry_at = now + retry_interval;
+}
+
 void server_pool::mark_failed(clock::time_point now) {
     if (!m_failing_since) {
         m_failing_since = now;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -79,6 +79,10 @@
     /// Records that the server has answered on the connection.
     void mark_answered(pooled_connection& connection, clock::time_point now);
 
+    /// Records that a statement ended without an answer on the connection. The server counts as
+    /// failing if it has not answered any other connection meanwhile.
+    void mark_timed_out(const pooled_connection& connection, clock::time_point now);
+
     /// Records that the server could not be reached or its connection broke.
     void mark_failed(clock::time_point now);
 
--- a/src/entry/tests/server_exchange_test.cpp
+++ b/src/entry/tests/server_exchange_test.cpp
@@ -116,5 +116,31 @@
     EXPECT_TRUE(received(command_kind::set_value));
 }
 
+// Guards against a lost primary that is never replaced, because a single client waits for each
+// statement's time limit and the evidence of the failure ends with the statement.
+TEST_F(server_exchange_test, server_that_answers_nothing_counts_as_failing_after_a_timeout) {
+    m_servers.at("s").no_answer_to = command_kind::caller_statement;
+    const auto started = steady_clock().now();
+    EXPECT_EQ(run().status, exchange_status::timed_out);
+    m_pool->discard(std::move(m_connection));
+    const auto evidence = m_pool->evidence(steady_clock().now());
+    ASSERT_TRUE(evidence.failing_since);
+    EXPECT_LT(*evidence.failing_since, started + 100ms);
+}
+
+// Guards against a server that counts as failing because of one slow statement, although it answers
+// others.
+TEST_F(server_exchange_test, server_that_answers_other_statements_does_not_count_as_failing) {
+    m_servers.at("s").no_answer_to = command_kind::caller_statement;
+    auto other = run_coroutine(m_io, m_pool->acquire(account_name("t"), {}, steady_clock().now()));
+    boost::asio::steady_timer timer(m_io, 50ms);
+    timer.async_wait([&](const boost::system::error_code&) {
+        m_pool->mark_answered(*other.connection, steady_clock().now());
+    });
+    EXPECT_EQ(run().status, exchange_status::timed_out);
+    m_pool->discard(std::move(m_connection));
+    EXPECT_FALSE(m_pool->evidence(steady_clock().now()).failing_since);
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/tests/process/unfenced_promotion_test.py
+++ b/tests/process/unfenced_promotion_test.py
@@ -84,6 +84,9 @@
             session.run("WRITE second value")
             time.sleep(0.05)
         self.assertEqual(self.platform.fences, [])
+        for index in (0, 1):
+            self.instances[index].process.send_signal(signal.SIGCONT)
+        self.run_until_done(session, "WRITE third value")
 
 
 if __name__ == "__main__":
