Take a refused connection for no proof that an instance has ended

A promotion also took a refused connection for a released lease. Change: an instance whose machine refused a connection is out of use for 3 s, or until a report of it arrives; its loans run out instead of being taken back. A lease counts as released only when the instance says so. An isolated zone that knows no instance outside stays isolated while the store is away. Answers of a leaving instance say that it leaves.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -291,9 +291,12 @@
     // While isolated, clients are sent to other zones, so no statement here would show that the
     // primaries are reachable again. Therefore m_isolated keeps the state until another zone
     // answers.
-    const bool isolated =
-        m_fleet.zone_isolated(now).value_or(m_peers.lost_other_zones(m_own.zone) &&
-                                            (m_isolated || m_fleet.most_primaries_failing(now)));
+    // If connections to all instances of the other zones are refused, they may have ended, or a
+    // partition refuses the connections. The store tells which: a partition cuts it off too.
+    const bool still_cut_off = m_isolated && m_store_lost_since.has_value();
+    const bool lost_other_zones = m_peers.lost_other_zones(m_own.zone).value_or(still_cut_off);
+    const bool isolated = m_fleet.zone_isolated(now).value_or(
+        lost_other_zones && (m_isolated || m_fleet.most_primaries_failing(now)));
     if (isolated == m_isolated) {
         return;
     }
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -282,6 +282,14 @@
     }
 }
 
+void fleet_state::mark_refused(const instance_id& peer, std::uint64_t incarnation,
+                               clock::time_point now) {
+    m_instances.mark_refused(peer, incarnation, now);
+    if (m_instances.consume_changed()) {
+        update_roles();
+    }
+}
+
 std::vector<std::pair<service_name, fleet::primary_change>>
 fleet_state::due_changes(clock::time_point now) {
     std::vector<std::pair<service_name, fleet::primary_change>> due;
@@ -297,6 +305,10 @@
 }
 
 bool fleet_state::advance(clock::time_point now) {
+    m_instances.advance(now);
+    if (m_instances.consume_changed()) {
+        update_roles();
+    }
     const bool expired = m_directory->expire(now);
     if (expired) {
         update_primary_monitors();
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -66,6 +66,11 @@
     /// more operations.
     void mark_ended(const instance_id& peer, std::uint64_t incarnation);
 
+    /// Records that the machine of the instance refused a connection. The process with this
+    /// incarnation has probably ended, but a partition may refuse connections too, so the instance
+    /// counts as alive again after a while.
+    void mark_refused(const instance_id& peer, std::uint64_t incarnation, clock::time_point now);
+
     /// Handles a request for loans of rate shares by the coordinator of account groups, which
     /// admits the operations of their accounts. Returns the groups that are lent to it.
     [[nodiscard]] std::set<int> grant_loans(const peer_report& request, clock::time_point now) {
--- a/src/entry/internal/instance_registry.cpp
+++ b/src/entry/internal/instance_registry.cpp
@@ -61,6 +61,10 @@
 
 void instance_registry::record_report(const instance_id& from, std::uint64_t incarnation) {
     m_contacted.insert(from);
+    if (refused(from, incarnation)) {
+        m_refusals.erase(from);
+        update_live();
+    }
     const auto sender = m_listed.find(from);
     if (sender == m_listed.end()) {
         m_unlisted = true;
@@ -80,6 +84,20 @@
     update_live();
 }
 
+void instance_registry::mark_refused(const instance_id& instance, std::uint64_t incarnation,
+                                     clock::time_point now) {
+    m_refusals[instance] = {incarnation, now};
+    update_live();
+}
+
+void instance_registry::advance(clock::time_point now) {
+    const auto forgotten = std::erase_if(
+        m_refusals, [now](const auto& item) { return now - item.second.at >= refusal_lifetime; });
+    if (forgotten > 0) {
+        update_live();
+    }
+}
+
 bool instance_registry::in_own_zone(const instance_id& instance) const {
     return zone_of(instance) == m_own.zone;
 }
@@ -94,6 +112,11 @@
     return found != m_stopped_incarnations.end() && found->second == incarnation;
 }
 
+bool instance_registry::refused(const instance_id& instance, std::uint64_t incarnation) const {
+    const auto found = m_refusals.find(instance);
+    return found != m_refusals.end() && found->second.incarnation == incarnation;
+}
+
 void instance_registry::update_live() {
     std::vector<fleet::registered_instance> live;
     const auto interval = renewal_interval();
@@ -102,7 +125,9 @@
                                                     : uncontacted_instance_timeout(interval);
         const bool timed_out =
             m_own_heartbeat_at && *m_own_heartbeat_at - seen.heartbeat_at > limit;
-        if (id != m_own.id && !timed_out && !ended(id, seen.listed.incarnation)) {
+        const bool stopped =
+            ended(id, seen.listed.incarnation) || refused(id, seen.listed.incarnation);
+        if (id != m_own.id && !timed_out && !stopped) {
             live.push_back(seen.listed);
             // The heartbeat counter only shows that the instance is alive; resetting it keeps it
             // from counting as a change of the list.
--- a/src/entry/internal/instance_registry.h
+++ b/src/entry/internal/instance_registry.h
@@ -29,6 +29,16 @@
     /// Records that the process with this incarnation has ended.
     void mark_ended(const instance_id& instance, std::uint64_t incarnation);
 
+    /// Records that the instance's machine refused a connection: the process with this incarnation
+    /// does not count as alive until a report of it arrives or `refusal_lifetime` has passed.
+    void mark_refused(const instance_id& instance, std::uint64_t incarnation,
+                      clock::time_point now);
+
+    /// Forgets refusals that are older than `refusal_lifetime`.
+    void advance(clock::time_point now);
+
+    static constexpr clock::duration refusal_lifetime = std::chrono::seconds(3);
+
     /// The other instances that are considered alive.
     [[nodiscard]] const std::vector<fleet::registered_instance>& live() const noexcept {
         return m_live;
@@ -61,13 +71,20 @@
         clock::time_point heartbeat_at; ///< last change of the heartbeat counter or incarnation
     };
 
+    struct refusal {
+        std::uint64_t incarnation = 0;
+        clock::time_point at;
+    };
+
     [[nodiscard]] bool ended(const instance_id& instance, std::uint64_t incarnation) const;
+    [[nodiscard]] bool refused(const instance_id& instance, std::uint64_t incarnation) const;
     void update_live();
 
     fleet::registered_instance m_own;
     std::map<instance_id, seen_instance> m_listed;
     /// Incarnation that has ended, by instance.
     std::map<instance_id, std::uint64_t> m_stopped_incarnations;
+    std::map<instance_id, refusal> m_refusals; ///< last refused connection, by instance
     std::set<instance_id> m_contacted; ///< instances that have reported since this process started
     std::optional<clock::time_point> m_own_heartbeat_at;
     std::vector<fleet::registered_instance> m_live;
--- a/src/entry/internal/lease_revoker.cpp
+++ b/src/entry/internal/lease_revoker.cpp
@@ -32,7 +32,7 @@
     std::set<zone_name> reached{m_fleet.own_zone()};
     const auto answers = co_await m_peers.ask(holders);
     for (const auto& answer : answers) {
-        if (answer.outcome == peer_outcome::answered) {
+        if (answer.answered) {
             reached.insert(zones.at(answer.from));
         }
     }
@@ -92,9 +92,7 @@
     const auto answers = co_await m_peers.ask(std::move(holders));
     for (const auto& answer : answers) {
         const auto known = answer.orders.find(order.service);
-        const bool knows_order =
-            known != answer.orders.end() && known->second.revision >= order.revision;
-        if (answer.outcome == peer_outcome::ended || knows_order) {
+        if (known != answer.orders.end() && known->second.revision >= order.revision) {
             revocation.released(answer.from, boot_clock().now());
         }
     }
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -113,11 +113,10 @@
     try {
         auto report = co_await exchange(peer);
         answer.orders = std::move(report.orders);
-        answer.outcome = peer_outcome::answered;
+        answer.answered = true;
     } catch (const links::peer_not_running& failure) {
-        answer.outcome = peer_outcome::ended;
         set_reachable(peer.id, false, failure.what());
-        m_fleet.mark_ended(peer.id, peer.incarnation);
+        m_fleet.mark_refused(peer.id, peer.incarnation, steady_clock().now());
     } catch (const error& failure) {
         set_reachable(peer.id, false, failure.what());
     }
@@ -154,6 +153,7 @@
     m_fleet.merge_report(request, std::nullopt, now);
     co_await apply_learned_orders();
     auto report = m_fleet.report_for(&request.revisions, now);
+    report.leaving = m_leaving;
     report.granted_loans = m_fleet.grant_loans(request, boot_clock().now());
     co_return encode_report(report);
 }
@@ -162,7 +162,7 @@
     return m_fleet.is_polled_peer(peer.id) || m_fleet.any_primary_failing();
 }
 
-bool peer_exchange::lost_other_zones(const zone_name& own_zone) const {
+std::optional<bool> peer_exchange::lost_other_zones(const zone_name& own_zone) const {
     bool any_peer_outside = false;
     for (const auto& peer : m_fleet.report_peers()) {
         if (peer.zone == own_zone) {
@@ -174,7 +174,7 @@
         }
         any_peer_outside = true;
     }
-    return any_peer_outside;
+    return any_peer_outside ? std::optional(true) : std::nullopt;
 }
 
 void peer_exchange::set_reachable(const instance_id& peer, bool reachable,
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -12,22 +12,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
 namespace oriole::entry {
 
-/// How an instance reacted to a request for its report.
-enum class peer_outcome {
-    answered,
-    ended, ///< its machine refused the connection: the process has ended
-    silent
-};
-
 /// An instance's reaction to a request for its report, with the promotion orders that it knows.
 struct peer_answer {
     instance_id from;
-    peer_outcome outcome = peer_outcome::silent;
+    bool answered = false;
     std::map<service_name, reported_order> orders;
 
     friend bool operator==(const peer_answer&, const peer_answer&) = default;
@@ -57,8 +51,8 @@
     void announce_leaving();
 
     /// Returns whether there are report peers outside `own_zone` and the last exchange with each
-    /// of them failed.
-    [[nodiscard]] bool lost_other_zones(const zone_name& own_zone) const;
+    /// of them failed; nullopt when there are none.
+    [[nodiscard]] std::optional<bool> lost_other_zones(const zone_name& own_zone) const;
 
     void stop() { m_server->stop(); }
 
--- a/src/entry/tests/instance_registry_test.cpp
+++ b/src/entry/tests/instance_registry_test.cpp
@@ -66,5 +66,33 @@
     EXPECT_TRUE(m_registry.live().empty());
 }
 
+// Guards against instances that take each other for dead for good after a partition that refused
+// connections: neither would ask the other again.
+TEST_F(instance_registry_test, instance_that_refused_a_connection_is_alive_again_after_a_while) {
+    list(1, 1, 0s);
+    m_registry.mark_refused(instance_id("other0"), 1, at(1s));
+    EXPECT_TRUE(m_registry.live().empty());
+    m_registry.advance(at(2s));
+    EXPECT_TRUE(m_registry.live().empty());
+    m_registry.advance(at(1s + instance_registry::refusal_lifetime));
+    EXPECT_EQ(m_registry.live().size(), 1U);
+}
+
+// Guards against ignoring an instance that reports although its machine refused a connection.
+TEST_F(instance_registry_test, report_shows_that_an_instance_is_alive_after_a_refusal) {
+    list(1, 1, 0s);
+    m_registry.mark_refused(instance_id("other0"), 1, at(1s));
+    m_registry.record_report(instance_id("other0"), 1);
+    EXPECT_EQ(m_registry.live().size(), 1U);
+}
+
+// Guards against reviving a process that has announced its end, or whose successor has reported.
+TEST_F(instance_registry_test, instance_that_announced_its_end_stays_dead) {
+    list(1, 1, 0s);
+    m_registry.mark_ended(instance_id("other0"), 1);
+    m_registry.advance(at(1h));
+    EXPECT_TRUE(m_registry.live().empty());
+}
+
 } // namespace
 } // namespace oriole::entry
