--- a/src/entry/internal/primary_leases.cpp
+++ b/src/entry/internal/primary_leases.cpp
@@ -35,11 +35,12 @@
 void primary_leases::record_answer(const peer_report& answer, const zone_name& zone,
                                    clock::time_point asked, const fleet::role_assignment& roles) {
     if (answer.knows_orders) {
-        if (!heard_from_majority(asked)) {
-            m_contact_regained_at = asked;
-        }
+        const bool had_contact = heard_from_majority(asked);
         auto& heard = m_heard_from.try_emplace(zone, asked).first->second;
         heard = std::max(heard, asked);
+        if (!had_contact && heard_from_majority(asked)) {
+            m_contact_regained_at = asked;
+        }
     }
     if (!answer.confirms_orders) {
         return;
--- a/src/entry/tests/fleet_state_test.cpp
+++ b/src/entry/tests/fleet_state_test.cpp
@@ -277,6 +277,31 @@
     EXPECT_EQ(m_leased.primary_monitor_of(service_name("db")).primary(), server_name("b"));
 }
 
+// Guards against a call to the store for each report, at an instance that is no gateway: it asks
+// only the watchers of its own zone, so it never hears from a majority of the zones.
+TEST_F(leased_fleet_state_test, instance_without_a_majority_does_not_read_the_store_again) {
+    m_leased.learn_orders({}, at(1s));
+    auto answer = confirmation("in-zone-a");
+    fleet::registered_instance neighbour;
+    neighbour.id = answer.from;
+    neighbour.zone = zone_name("zone-a");
+    m_leased.update_instances({{{neighbour.id.str(), 3, false, neighbour}}, 3}, at(2s));
+    m_leased.merge_report(answer, at(3s), at(3s));
+    EXPECT_FALSE(m_leased.needs_orders());
+}
+
+// Guards against confirming leases after a cut, without the orders that were announced meanwhile.
+TEST_F(leased_fleet_state_test, instance_that_regains_a_majority_reads_the_store_again) {
+    m_leased.learn_orders({}, at(1s));
+    m_leased.merge_report(confirmation("in-zone-b"), at(3s), at(3s));
+    EXPECT_TRUE(m_leased.needs_orders());
+    m_leased.learn_orders({}, at(4s));
+    m_leased.merge_report(confirmation("in-zone-b"), at(5s), at(5s));
+    EXPECT_FALSE(m_leased.needs_orders());
+    m_leased.merge_report(confirmation("in-zone-b"), at(60s), at(60s));
+    EXPECT_TRUE(m_leased.needs_orders());
+}
+
 // Guards against a restarted instance that confirms leases although it has forgotten the orders
 // that it had acknowledged.
 TEST_F(leased_fleet_state_test, report_confirms_orders_only_after_the_store_was_read) {
