Log the era and revision of the store's pages and what is ignored

Change: event=store_page for each list and page of changes, with the value of Store-Era; outcome=ignored, with both revisions, for pages and configurations that are not newer. The logic is unchanged.

--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -48,6 +48,9 @@
 struct store_page {
     std::vector<store_entry<Value>> objects;
     std::uint64_t revision = 0;
+    /// How often the store has been restored from an older copy, as the reply states; 0 when it
+    /// does not state it.
+    std::uint64_t era = 0;
 
     friend bool operator==(const store_page&, const store_page&) = default;
 };
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -37,7 +37,18 @@
 
 void fleet_state::update_configuration(std::shared_ptr<const fleet::configuration> config,
                                        std::uint64_t revision, std::string_view source) {
-    if (revision <= m_revisions.configuration || config == nullptr) {
+    if (config == nullptr) {
+        return;
+    }
+    if (revision <= m_revisions.configuration) {
+        if (config->version != m_config->version) {
+            m_log.write(log_entry("configuration")
+                            .add("version", config->version)
+                            .add("revision", revision)
+                            .add("source", source)
+                            .add("outcome", "ignored")
+                            .add("newest_revision", m_revisions.configuration));
+        }
         return;
     }
     m_log.write(log_entry("configuration")
@@ -60,6 +71,7 @@
 void fleet_state::update_servers(const store_page<fleet::registered_server>& page, bool is_snapshot,
                                  clock::time_point now) {
     if (page.revision < m_revisions.servers) {
+        log_ignored_page("servers", page.revision, m_revisions.servers);
         return;
     }
     std::vector<fleet::registered_server> listed;
@@ -85,6 +97,7 @@
 void fleet_state::update_evacuations(const store_page<evacuation>& page, bool is_snapshot,
                                      clock::time_point now) {
     if (page.revision < m_revisions.evacuations) {
+        log_ignored_page("evacuations", page.revision, m_revisions.evacuations);
         return;
     }
     std::set<zone_name> named;
@@ -108,6 +121,15 @@
     m_revisions.evacuations = page.revision;
 }
 
+void fleet_state::log_ignored_page(std::string_view kind, std::uint64_t revision,
+                                   std::uint64_t newest) {
+    m_log.write(log_entry("store_page")
+                    .add("kind", kind)
+                    .add("revision", revision)
+                    .add("outcome", "ignored")
+                    .add("newest_revision", newest));
+}
+
 void fleet_state::update_instances(const store_page<fleet::registered_instance>& page,
                                    clock::time_point now) {
     m_instances.update(page, now);
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -213,6 +213,7 @@
         clock::time_point received_at;
     };
 
+    void log_ignored_page(std::string_view kind, std::uint64_t revision, std::uint64_t newest);
     void update_primary_monitors();
     void update_roles();
     void apply_released_loans(const peer_report& report);
--- a/src/entry/internal/store_follower.h
+++ b/src/entry/internal/store_follower.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace oriole::entry {
 
@@ -80,6 +81,7 @@
             m_history_expired = false;
             set_reachable(true, "listed");
             m_revision = page.revision;
+            log_page(page, "list");
             m_on_page(page, true);
             // After a start, the list of instances, which tells whether this one has to watch,
             // arrives about now. A watch that is not needed would wait for its whole time.
@@ -90,11 +92,21 @@
             set_reachable(true, "changed");
             m_revision = page.revision;
             if (!page.objects.empty()) {
+                log_page(page, "changes");
                 m_on_page(page, false);
             }
         }
     }
 
+    void log_page(const store_page<Value>& page, std::string_view source) {
+        m_log.write(log_entry("store_page")
+                        .add("kind", m_name)
+                        .add("source", source)
+                        .add("era", page.era)
+                        .add("revision", page.revision)
+                        .add("objects", page.objects.size()));
+    }
+
     void set_reachable(bool reachable, const std::string& reason) {
         if (m_reachable != reachable) {
             m_log.write(log_entry("store")
