--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -50,6 +50,7 @@
         self.lag_s = 0.0
         self.dark = False
         self.lost_answers = 0
+        self.writes = 0  # entries written to the store
         self.ran = []
         self.connections = set()
         self.port = 0
--- a/standins/users_platform/http.py
+++ b/standins/users_platform/http.py
@@ -28,18 +28,20 @@
 
 async def serve_http(reader, writer, handle):
     """Serves the requests of one connection. `handle(method, path, query, headers, body)` returns
-    (status, body). When it returns None, the request is not answered and the connection is closed,
+    (status, body) or (status, body, headers). When it returns None, the request is not answered and the connection is closed,
     as if the answer were lost."""
     try:
         while request := await read_request(reader):
             answer = await handle(*request)
             if answer is None:
                 break
-            status, body = answer
+            status, body, *rest = answer
+            added = rest[0] if rest else {}
+            headers = "".join(f"{name}: {value}\r\n" for name, value in added.items())
             text = json.dumps(body).encode()
             reason = REASONS.get(status, "Status")
             writer.write(
-                f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n"
+                f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{headers}"
                 f"Content-Length: {len(text)}\r\n\r\n".encode() + text
             )
             await writer.drain()
--- a/test.sh
+++ b/test.sh
@@ -11,4 +11,4 @@
 else
     tools/lint
 fi
-ctest --test-dir build --output-on-failure -j 4
+tools/run_tests
