--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -6,6 +6,7 @@
 #include "fleet/types/promotion_order.h"
 #include "fleet/types/registered_instance.h"
 #include "fleet/types/registered_server.h"
+#include "fleet/types/store_revision.h"
 
 #include <utility>
 
@@ -36,7 +37,7 @@
 template <class Value>
 struct store_entry {
     std::string name;
-    std::uint64_t revision = 0;
+    fleet::store_revision revision;
     bool removed = false;
     std::optional<Value> value; ///< nullopt when the object was removed or cannot be parsed
 
@@ -47,10 +48,7 @@
 template <class Value>
 struct store_page {
     std::vector<store_entry<Value>> objects;
-    std::uint64_t revision = 0;
-    /// How often the store has been restored from an older copy, as the reply states; 0 when it
-    /// does not state it.
-    std::uint64_t era = 0;
+    fleet::store_revision revision;
 
     friend bool operator==(const store_page&, const store_page&) = default;
 };
@@ -69,10 +67,11 @@
     /// Lists all objects. Throws store_unavailable.
     [[nodiscard]] virtual boost::asio::awaitable<store_page<Value>> list(read_mode mode) = 0;
 
-    /// Waits up to `wait` for changes after `revision`; the page is empty when there were none.
-    /// Throws store_unavailable and history_expired.
+    /// Waits up to `wait` for changes after `revision`; the page is empty when there were none. The
+    /// page may be of a later era than `revision`, and then lacks changes. Throws store_unavailable
+    /// and history_expired.
     [[nodiscard]] virtual boost::asio::awaitable<store_page<Value>>
-    changes_since(std::uint64_t revision, clock::duration wait) = 0;
+    changes_since(fleet::store_revision revision, clock::duration wait) = 0;
 };
 
 /// Marks an availability zone whose backend servers may not be used.
@@ -103,14 +102,15 @@
     /// Removes the entry of an instance, if it exists. Throws store_unavailable.
     [[nodiscard]] virtual boost::asio::awaitable<void> remove_instance(instance_id id) = 0;
 
-    /// Reads the last promotion order for the service; its revision is 0 when there is none. Throws
+    /// Reads the last promotion order for the service; its fence is 0 when there is none. Throws
     /// store_unavailable.
     [[nodiscard]] virtual boost::asio::awaitable<fleet::promotion_order>
     promotion_order_of(service_name service) = 0;
 
     /// Replaces the promotion order whose revision is `order.revision` (compare-and-swap) and
-    /// returns it with its new revision; nullopt when another instance has replaced it first. When
-    /// it throws store_unavailable, the order may have been stored.
+    /// returns it with its new revision; nullopt when another instance has replaced it first, or
+    /// when the store was restored since that revision was read. The order gets a new fencing token
+    /// unless it has one. When it throws store_unavailable, the order may have been stored.
     [[nodiscard]] virtual boost::asio::awaitable<std::optional<fleet::promotion_order>>
     record_promotion(fleet::promotion_order order) = 0;
 };
--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -124,7 +124,7 @@
             for (const auto& object : page.objects) {
                 if (!object.value) {
                     m_log.write(log_entry("configuration")
-                                    .add("revision", object.revision)
+                                    .add("revision", to_string(object.revision))
                                     .add("outcome", "unreadable"));
                     continue;
                 }
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -28,6 +28,7 @@
       m_leasing(leasing),
       m_zone_count(zone_count),
       m_directory(fleet::make_server_directory()),
+      m_evacuated(log),
       m_instances(m_own),
       m_rates(m_own),
       m_promotion_leases(m_own.id),
@@ -36,26 +37,26 @@
 }
 
 void fleet_state::update_configuration(std::shared_ptr<const fleet::configuration> config,
-                                       std::uint64_t revision, std::string_view source) {
+                                       const fleet::store_revision& revision,
+                                       std::string_view source) {
+    note_era(revision.era);
     if (config == nullptr) {
         return;
     }
-    if (revision <= m_revisions.configuration) {
-        if (config->version != m_config->version) {
-            m_log.write(log_entry("configuration")
-                            .add("version", config->version)
-                            .add("revision", revision)
-                            .add("source", source)
-                            .add("outcome", "ignored")
-                            .add("newest_revision", m_revisions.configuration));
-        }
+    const fleet::configuration_rank rank{config->version, revision};
+    const bool is_newer = m_config == nullptr || rank > m_revisions.configuration;
+    log_entry line("configuration");
+    line.add("version", config->version)
+        .add("revision", to_string(revision))
+        .add("source", source)
+        .add("outcome", is_newer ? "in_force" : "ignored");
+    if (!is_newer) {
+        line.add("newest_version", m_config->version);
+    }
+    m_log.write(line);
+    if (!is_newer) {
         return;
     }
-    m_log.write(log_entry("configuration")
-                    .add("version", config->version)
-                    .add("revision", revision)
-                    .add("source", source)
-                    .add("outcome", "in_force"));
     auto keys = std::make_shared<fleet::key_index>();
     for (const auto& account : config->accounts) {
         for (const auto& key : account.keys) {
@@ -64,14 +65,19 @@
     }
     m_accounts_by_key = std::move(keys);
     m_config = std::move(config);
-    m_revisions.configuration = revision;
+    m_revisions.configuration = rank;
     update_roles();
 }
 
 void fleet_state::update_servers(const store_page<fleet::registered_server>& page, bool is_snapshot,
                                  clock::time_point now) {
+    note_era(page.revision.era);
     if (page.revision < m_revisions.servers) {
-        log_ignored_page("servers", page.revision, m_revisions.servers);
+        m_log.write(log_entry("store_page")
+                        .add("kind", "servers")
+                        .add("revision", to_string(page.revision))
+                        .add("outcome", "ignored")
+                        .add("newest_revision", to_string(m_revisions.servers)));
         return;
     }
     std::vector<fleet::registered_server> listed;
@@ -96,42 +102,24 @@
 
 void fleet_state::update_evacuations(const store_page<evacuation>& page, bool is_snapshot,
                                      clock::time_point now) {
-    if (page.revision < m_revisions.evacuations) {
-        log_ignored_page("evacuations", page.revision, m_revisions.evacuations);
+    note_era(page.revision.era);
+    m_evacuated.update(page, is_snapshot, now);
+    m_revisions.evacuations = m_evacuated.revision();
+}
+
+void fleet_state::note_era(std::uint64_t era) {
+    if (era <= m_era) {
         return;
     }
-    std::set<zone_name> named;
-    for (const auto& object : page.objects) {
-        const zone_name zone(object.name);
-        if (object.removed) {
-            m_evacuated_since.erase(zone);
-        } else {
-            m_evacuated_since.try_emplace(zone, now);
-            named.insert(zone);
-        }
-        m_log.write(log_entry("evacuation")
-                        .add("zone", object.name)
-                        .add("revision", object.revision)
-                        .add("outcome", object.removed ? "ended" : "in_force"));
-    }
-    if (is_snapshot) {
-        std::erase_if(m_evacuated_since,
-                      [&named](const auto& item) { return !named.contains(item.first); });
+    if (m_era != 0) {
+        m_log.write(log_entry("store_restored").add("era", era).add("era_before", m_era));
     }
-    m_revisions.evacuations = page.revision;
-}
-
-void fleet_state::log_ignored_page(std::string_view kind, std::uint64_t revision,
-                                   std::uint64_t newest) {
-    m_log.write(log_entry("store_page")
-                    .add("kind", kind)
-                    .add("revision", revision)
-                    .add("outcome", "ignored")
-                    .add("newest_revision", newest));
+    m_era = era;
 }
 
 void fleet_state::update_instances(const store_page<fleet::registered_instance>& page,
                                    clock::time_point now) {
+    note_era(page.revision.era);
     m_instances.update(page, now);
     if (m_instances.consume_changed()) {
         update_roles();
@@ -156,7 +144,7 @@
     m_log.write(log_entry("promotion_order")
                     .add("service", order.service.str())
                     .add("target", order.target.str())
-                    .add("fence", order.revision)
+                    .add("fence", order.fence)
                     .add("outcome", "previous_primary_given_up"));
 }
 
@@ -168,13 +156,19 @@
         } else {
             m_log.write(log_entry("promotion_order")
                             .add("service", object.name)
-                            .add("revision", object.revision)
+                            .add("revision", to_string(object.revision))
                             .add("outcome", "unreadable"));
         }
     }
     m_leases.store_read(asked);
 }
 
+reported_order fleet_state::known_order(const service_name& service) const {
+    const auto orders = m_leases.known_orders();
+    const auto found = orders.find(service);
+    return found == orders.end() ? reported_order() : found->second;
+}
+
 std::vector<fleet::registered_instance>
 fleet_state::lease_holders(const service_name& service) const {
     const auto found = m_roles->lease_holders.find(service);
@@ -217,12 +211,13 @@
     if (m_instances.consume_changed()) {
         update_roles();
     }
+    m_evacuated.advance(now);
     const bool expired = m_directory->expire(now);
     if (expired) {
         update_primary_monitors();
     }
     for (const auto& server : m_servers) {
-        if (server.draining || m_evacuated_since.contains(server.zone)) {
+        if (server.draining || m_evacuated.contains(server.zone)) {
             m_unavailable_since.try_emplace(server.id, now);
         } else {
             m_unavailable_since.erase(server.id);
@@ -315,7 +310,7 @@
                             .add("service", service.str())
                             .add("server", monitor.primary().str())
                             .add("before", before.str())
-                            .add("revision", m_revisions.servers)
+                            .add("revision", to_string(m_revisions.servers))
                             .add("source", "list"));
         }
     }
@@ -349,9 +344,7 @@
             result.servers.push_back(server);
         }
     }
-    for (const auto& [zone, since] : m_evacuated_since) {
-        result.evacuated_zones.insert(zone);
-    }
+    result.evacuated_zones = m_evacuated.zones();
     result.own = m_evidence.own_of(service);
     result.peers = m_evidence.peers_of(service, now);
     const auto electors = m_roles->electors.find(service);
@@ -375,7 +368,7 @@
     fleet::usable_server entry;
     entry.listed = server;
     entry.primary = monitor != m_primary_monitors.end() && monitor->second->primary() == server.id;
-    const bool leaving = server.draining || m_evacuated_since.contains(server.zone);
+    const bool leaving = server.draining || m_evacuated.contains(server.zone);
     if (leaving) {
         const auto since = m_unavailable_since.find(server.id);
         const bool fresh =
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
+#include "entry/internal/evacuated_zones.h"
 #include "entry/internal/evidence_record.h"
 #include "entry/internal/instance_registry.h"
 #include "entry/internal/primary_leases.h"
@@ -34,9 +35,10 @@
                 std::size_t zone_count = 1);
 
     /// Applies the configuration that the store holds at `revision`, unless the current one is at
-    /// least as new. `source` is where the configuration was received from; it is only logged.
+    /// least as new by fleet::configuration_rank. `source` is where the configuration was received
+    /// from; it is only logged.
     void update_configuration(std::shared_ptr<const fleet::configuration> config,
-                              std::uint64_t revision, std::string_view source);
+                              const fleet::store_revision& revision, std::string_view source);
 
     void update_servers(const store_page<fleet::registered_server>& page, bool is_snapshot,
                         clock::time_point now);
@@ -58,9 +60,9 @@
     void merge_report(const peer_report& report, std::optional<clock::time_point> asked,
                       clock::time_point now);
 
-    /// Builds a report for another instance. Unless `peer_knows` is null, the report includes the
-    /// objects that are newer than the revisions in it.
-    [[nodiscard]] peer_report report_for(const known_revisions* peer_knows, clock::time_point now);
+    /// Builds a report for another instance. Unless `request`, the report that it answers, is null,
+    /// it includes the objects that are newer than the revisions in the request.
+    [[nodiscard]] peer_report report_for(const peer_report* request, clock::time_point now);
 
     /// Records that the process with this incarnation (process start) has ended, so it admits no
     /// more operations.
@@ -94,7 +96,7 @@
 
     /// Records a promotion order that this instance has issued.
     void record_issued_order(const fleet::promotion_order& order, clock::time_point now) {
-        m_promotion_leases.seen(order.service, order.revision, now);
+        m_promotion_leases.seen(order.service, order.fence, now);
         m_last_promoters[order.service] = order.holder;
     }
 
@@ -120,11 +122,15 @@
     /// before the store was asked.
     void learn_orders(const store_page<fleet::promotion_order>& page, clock::time_point asked);
 
-    /// Store revision of the service's newest known order, where leases are needed.
-    [[nodiscard]] std::uint64_t known_order_revision(const service_name& service) const {
-        return m_leases.order_revision(service);
+    /// Fencing token of the service's newest known order, where leases are needed.
+    [[nodiscard]] std::uint64_t known_order_fence(const service_name& service) const {
+        return m_leases.order_fence(service);
     }
 
+    /// Where leases are needed: the newest known order of the service; its fence is 0 when none is
+    /// known.
+    [[nodiscard]] reported_order known_order(const service_name& service) const;
+
     /// The instances that may hold a lease on the service's primary, perhaps including this one.
     [[nodiscard]] std::vector<fleet::registered_instance>
     lease_holders(const service_name& service) const;
@@ -213,7 +219,13 @@
         clock::time_point received_at;
     };
 
-    void log_ignored_page(std::string_view kind, std::uint64_t revision, std::uint64_t newest);
+    /// Learns that the store has reached `era`.
+    void note_era(std::uint64_t era);
+    /// False for a report without eras once the store was restored: its revisions may be of any
+    /// era.
+    [[nodiscard]] bool has_comparable_revisions(const peer_report& report) const;
+    /// The revisions in the report; where it states no eras, with those of this instance.
+    [[nodiscard]] known_revisions revisions_of(const peer_report& report) const;
     void update_primary_monitors();
     void update_roles();
     void apply_released_loans(const peer_report& report);
@@ -233,8 +245,7 @@
     std::unique_ptr<fleet::server_directory> m_directory;
     std::vector<fleet::registered_server> m_servers;
     std::map<server_name, clock::time_point> m_unavailable_since;
-    /// When each zone's evacuation became known.
-    std::map<zone_name, clock::time_point> m_evacuated_since;
+    evacuated_zones m_evacuated;
     instance_registry m_instances; ///< also determines this instance's shares of the account rates
     evidence_record m_evidence;
     std::shared_ptr<const fleet::role_assignment> m_roles;
@@ -251,6 +262,7 @@
     /// Sequence number of the newest report, by instance.
     std::map<instance_id, report_sequence> m_last_sequences;
     std::uint64_t m_last_own_sequence = 0; ///< sequence number of this instance's last report
+    std::uint64_t m_era = 0;               ///< newest known era of the store
     bool m_roles_changed = false;
     bool m_order_learned = false;
     bool m_isolated = false;
--- a/src/entry/internal/instance_registry.cpp
+++ b/src/entry/internal/instance_registry.cpp
@@ -33,6 +33,10 @@
 
 void instance_registry::update(const store_page<fleet::registered_instance>& page,
                                clock::time_point now) {
+    if (page.revision.era < m_era) {
+        return;
+    }
+    m_era = page.revision.era;
     std::map<instance_id, seen_instance> next;
     for (const auto& object : page.objects) {
         if (!object.value) {
--- a/src/entry/internal/lease_revoker.cpp
+++ b/src/entry/internal/lease_revoker.cpp
@@ -72,7 +72,7 @@
             waited = true;
             m_log.write(log_entry("lease_revocation")
                             .add("service", order.service.str())
-                            .add("fence", order.revision)
+                            .add("fence", order.fence)
                             .add("silent_instances", revocation.pending().size())
                             .add("outcome", safe_at ? "waits_for_expiry" : "waits_for_majority"));
         }
@@ -81,7 +81,7 @@
 }
 
 bool lease_revoker::superseded(const fleet::promotion_order& order) const {
-    return m_fleet.known_order_revision(order.service) > order.revision;
+    return m_fleet.known_order_fence(order.service) > order.fence;
 }
 
 asio::awaitable<void> lease_revoker::announce(const fleet::promotion_order& order,
@@ -92,7 +92,7 @@
     const auto answers = co_await m_peers.ask(std::move(holders));
     for (const auto& answer : answers) {
         const auto known = answer.orders.find(order.service);
-        if (known != answer.orders.end() && known->second.revision >= order.revision) {
+        if (known != answer.orders.end() && known->second.fence >= order.fence) {
             revocation.released(answer.from, boot_clock().now());
         }
     }
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -152,7 +152,7 @@
     const auto request = decode_report(text);
     m_fleet.merge_report(request, std::nullopt, now);
     co_await apply_learned_orders();
-    auto report = m_fleet.report_for(&request.revisions, now);
+    auto report = m_fleet.report_for(&request, now);
     report.leaving = m_leaving;
     report.granted_loans = m_fleet.grant_loans(request, boot_clock().now());
     co_return encode_report(report);
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -22,8 +22,8 @@
         out["position"] = encode_position(*report.position);
         out["age"] = encode_duration(report.proof_age);
     }
-    if (report.order_revision != 0) {
-        out["order"] = {report.order_revision, encode_duration(report.order_age)};
+    if (report.order_fence != 0) {
+        out["order"] = {report.order_fence, encode_duration(report.order_age)};
     }
     return out;
 }
@@ -43,7 +43,7 @@
         report.proof_age = decode_duration(in.at("age"));
     }
     if (in.contains("order")) {
-        report.order_revision = in.at("order").at(0).get<std::uint64_t>();
+        report.order_fence = in.at("order").at(0).get<std::uint64_t>();
         report.order_age = decode_duration(in.at("order").at(1));
     }
     return report;
@@ -58,7 +58,9 @@
             {"draining", server.draining},
             {"primary", server.primary},
             {"born", server.start_time_ms},
-            {"revision", server.revision}};
+            {"sequence", server.sequence},
+            {"era", server.revision.era},
+            {"revision", server.revision.number}};
 }
 
 fleet::registered_server decode_server(const json& in) {
@@ -71,7 +73,8 @@
     server.draining = in.at("draining").get<bool>();
     server.primary = in.at("primary").get<bool>();
     server.start_time_ms = in.at("born").get<std::int64_t>();
-    server.revision = in.at("revision").get<std::uint64_t>();
+    server.sequence = in.value("sequence", std::uint64_t{0});
+    server.revision = {in.value("era", std::uint64_t{0}), in.at("revision").get<std::uint64_t>()};
     return server;
 }
 
@@ -115,6 +118,29 @@
     return value;
 }
 
+json encode_revision(const fleet::store_revision& revision) {
+    return {revision.era, revision.number};
+}
+
+fleet::store_revision decode_revision(const json& in) {
+    return {in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>()};
+}
+
+/// Decodes the numbers of the known revisions, which reports without eras have too.
+known_revisions decode_revisions(const json& numbers) {
+    known_revisions revisions;
+    revisions.configuration.revision.number = numbers.at(0).get<std::uint64_t>();
+    revisions.servers.number = numbers.at(1).get<std::uint64_t>();
+    revisions.evacuations.number = numbers.at(2).get<std::uint64_t>();
+    return revisions;
+}
+
+void decode_evacuation_revisions(const json& in, std::vector<reported_evacuation>& evacuations) {
+    for (std::size_t i = 0; i < evacuations.size(); ++i) {
+        evacuations[i].revision = decode_revision(in.at(i));
+    }
+}
+
 peer_report decode(const json& in) {
     peer_report report;
     report.from = instance_id(in.at("from").get<std::string>());
@@ -125,8 +151,15 @@
     report.leaving = in.at("leaving").get<bool>();
     report.isolated = in.at("isolated").get<bool>();
     const auto& known = in.at("known");
-    report.revisions = {known.at(0).get<std::uint64_t>(), known.at(1).get<std::uint64_t>(),
-                        known.at(2).get<std::uint64_t>()};
+    report.revisions = decode_revisions(known);
+    report.states_eras = in.contains("eras");
+    if (report.states_eras) {
+        const auto& eras = in.at("eras");
+        report.revisions.configuration.version = in.at("version").get<std::int64_t>();
+        report.revisions.configuration.revision.era = eras.at(0).get<std::uint64_t>();
+        report.revisions.servers.era = eras.at(1).get<std::uint64_t>();
+        report.revisions.evacuations.era = eras.at(2).get<std::uint64_t>();
+    }
     for (const auto& [name, service] : in.at("services").items()) {
         report.services[service_name(name)] = decode_service(service);
     }
@@ -151,7 +184,10 @@
     if (in.contains("evacuated")) {
         report.evacuated.emplace();
         for (const auto& zone : in.at("evacuated")) {
-            report.evacuated->emplace_back(zone.get<std::string>());
+            report.evacuated->push_back({zone_name(zone.get<std::string>()), {}});
+        }
+        if (report.states_eras) {
+            decode_evacuation_revisions(in.at("evacuated_at"), *report.evacuated);
         }
     }
     return report;
@@ -160,16 +196,21 @@
 } // namespace
 
 std::string encode_report(const peer_report& report) {
-    json out{
-        {"from", report.from.str()},
-        {"incarnation", report.incarnation},
-        {"number", report.sequence},
-        {"wanted_loans", report.wanted_loans},
-        {"lent", report.granted_loans},
-        {"leaving", report.leaving},
-        {"isolated", report.isolated},
-        {"known",
-         {report.revisions.configuration, report.revisions.servers, report.revisions.evacuations}}};
+    json out{{"from", report.from.str()},
+             {"incarnation", report.incarnation},
+             {"number", report.sequence},
+             {"wanted_loans", report.wanted_loans},
+             {"lent", report.granted_loans},
+             {"leaving", report.leaving},
+             {"isolated", report.isolated},
+             {"known",
+              {report.revisions.configuration.revision.number, report.revisions.servers.number,
+               report.revisions.evacuations.number}}};
+    if (report.states_eras) {
+        out["version"] = report.revisions.configuration.version;
+        out["eras"] = {report.revisions.configuration.revision.era, report.revisions.servers.era,
+                       report.revisions.evacuations.era};
+    }
     out["services"] = json::object();
     for (const auto& [name, service] : report.services) {
         out["services"][name.str()] = encode_service(service);
@@ -179,7 +220,7 @@
         out["confirms"] = report.confirms_orders;
         out["orders"] = json::object();
         for (const auto& [name, order] : report.orders) {
-            out["orders"][name.str()] = {order.revision, order.target.str()};
+            out["orders"][name.str()] = {order.fence, order.target.str()};
         }
     }
     if (report.configuration != nullptr) {
@@ -193,8 +234,10 @@
     }
     if (report.evacuated) {
         out["evacuated"] = json::array();
-        for (const auto& zone : *report.evacuated) {
+        out["evacuated_at"] = json::array();
+        for (const auto& [zone, revision] : *report.evacuated) {
             out["evacuated"].push_back(zone.str());
+            out["evacuated_at"].push_back(encode_revision(revision));
         }
     }
     return out.dump();
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -80,10 +80,10 @@
     std::erase_if(change.candidates,
                   [this](const auto& server) { return m_refused_until.contains(server); });
     const auto known = m_last_orders.find(service);
-    const auto seen_revision = known == m_last_orders.end() ? 0 : known->second.revision;
+    const auto seen_fence = known == m_last_orders.end() ? 0 : known->second.fence;
     auto order = co_await current_order(service);
     auto& monitor = m_fleet.primary_monitor_of(service);
-    if (order.revision > seen_revision && !order.target.empty() && order.target != change.from &&
+    if (order.fence > seen_fence && !order.target.empty() && order.target != change.from &&
         order.holder != m_fleet.own() && m_fleet.find_server(order.target)) {
         // Another instance has just ordered a promotion; its target gets time to become the
         // primary.
@@ -97,7 +97,7 @@
         m_log.write(log_entry("primary_change")
                         .add("service", service.str())
                         .add("holder", order.holder.str())
-                        .add("fence", order.revision)
+                        .add("fence", order.fence)
                         .add("outcome", "holder_has_the_lease"));
         co_await pause(m_executor, lease_pause);
         co_return;
@@ -119,6 +119,7 @@
     order.service = service;
     order.holder = m_fleet.own();
     order.target = *target;
+    order.fence = 0;
     const auto store_entry = co_await store_order(order);
     if (!store_entry) {
         log_outcome(service, "another_instance_acts");
@@ -152,7 +153,7 @@
             .add("from", change.from.str())
             .add("to", order.target.str())
             .add("reason", change.reason == fleet::change_reason::planned ? "planned" : "lost")
-            .add("fence", order.revision)
+            .add("fence", order.fence)
             .add("outcome", accepted ? "accepted" : "refused"));
     if (accepted) {
         m_fleet.primary_monitor_of(order.service).promoted(order.target);
@@ -203,11 +204,11 @@
         m_log.write(log_entry("primary_change")
                         .add("service", order.service.str())
                         .add("to", order.target.str())
-                        .add("fence", order.revision)
+                        .add("fence", order.fence)
                         .add("outcome", "promotion_unanswered")
                         .add("reason", failure));
         co_await pause(m_executor, failure_pause);
-        if (m_fleet.known_order_revision(order.service) > order.revision) {
+        if (m_fleet.known_order_fence(order.service) > order.fence) {
             co_return std::nullopt;
         }
     }
@@ -215,21 +216,37 @@
 
 asio::awaitable<fleet::promotion_order> primary_changer::current_order(service_name service) {
     try {
-        auto order = co_await m_store.promotion_order_of(service);
-        m_last_orders[service] = order;
-        co_return order;
+        auto stored = co_await m_store.promotion_order_of(service);
+        co_return newest_known(std::move(stored));
     } catch (const store_unavailable&) {
         const auto known = m_last_orders.find(service);
         if (m_fleet.leases_needed() || known == m_last_orders.end() ||
             known->second.holder != m_fleet.own()) {
             throw;
         }
-        // This instance issued the last known order, so it may reuse that order's revision as the
-        // fencing token. The platform refuses the promotion if there is a newer order.
+        // This instance issued the last known order, so it may reuse that order's fencing token.
+        // The platform refuses the promotion if there is a newer order.
         co_return known->second;
     }
 }
 
+fleet::promotion_order primary_changer::newest_known(fleet::promotion_order stored) {
+    const auto revision = stored.revision;
+    auto& last = m_last_orders[stored.service];
+    if (stored.fence >= last.fence) {
+        last = std::move(stored);
+    }
+    auto newest = last;
+    const auto reported = m_fleet.known_order(newest.service);
+    if (reported.fence > newest.fence) {
+        newest.holder = {};
+        newest.target = reported.target;
+        newest.fence = reported.fence;
+    }
+    newest.revision = revision;
+    return newest;
+}
+
 asio::awaitable<std::optional<fleet::promotion_order>>
 primary_changer::store_order(fleet::promotion_order order) {
     try {
@@ -241,9 +258,10 @@
     } catch (const store_unavailable&) {
         const auto known = m_last_orders.find(order.service);
         if (m_fleet.leases_needed() || known == m_last_orders.end() ||
-            known->second.holder != m_fleet.own() || known->second.revision == 0) {
+            known->second.holder != m_fleet.own() || known->second.fence == 0) {
             throw;
         }
+        order.fence = known->second.fence;
         co_return order;
     }
 }
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -54,8 +54,10 @@
     /// newer order exists meanwhile.
     [[nodiscard]] boost::asio::awaitable<std::optional<promotion_result>>
     send_promotion(fleet::promotion_order order);
+    /// The newest known order of the service, with the revision of the object that the store holds.
     [[nodiscard]] boost::asio::awaitable<fleet::promotion_order>
     current_order(service_name service);
+    [[nodiscard]] fleet::promotion_order newest_known(fleet::promotion_order stored);
     [[nodiscard]] boost::asio::awaitable<std::optional<fleet::promotion_order>>
     store_order(fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
--- a/src/entry/internal/primary_leases.cpp
+++ b/src/entry/internal/primary_leases.cpp
@@ -25,7 +25,7 @@
 }
 
 bool primary_leases::learn(const fleet::promotion_order& order) {
-    if (order.revision == 0 || !lease_of(order.service).learn(order.revision, order.target)) {
+    if (order.fence == 0 || !lease_of(order.service).learn(order.fence, order.target)) {
         return false;
     }
     m_changed.insert(order.service);
@@ -50,10 +50,10 @@
             continue;
         }
         const auto known = answer.orders.find(service);
-        const auto revision = known == answer.orders.end() ? 0 : known->second.revision;
+        const auto fence = known == answer.orders.end() ? 0 : known->second.fence;
         auto& lease = lease_of(service);
         const auto before = lease.grant();
-        lease.confirm(zone, revision, asked);
+        lease.confirm(zone, fence, asked);
         if (lease.grant() != before) {
             m_changed.insert(service);
         }
@@ -71,16 +71,16 @@
 std::map<service_name, reported_order> primary_leases::known_orders() const {
     std::map<service_name, reported_order> orders;
     for (const auto& [service, lease] : m_leases) {
-        if (lease.order_revision() != 0) {
-            orders[service] = {lease.order_revision(), lease.target()};
+        if (lease.order_fence() != 0) {
+            orders[service] = {lease.order_fence(), lease.target()};
         }
     }
     return orders;
 }
 
-std::uint64_t primary_leases::order_revision(const service_name& service) const {
+std::uint64_t primary_leases::order_fence(const service_name& service) const {
     const auto found = m_leases.find(service);
-    return found == m_leases.end() ? 0 : found->second.order_revision();
+    return found == m_leases.end() ? 0 : found->second.order_fence();
 }
 
 std::map<service_name, fleet::primary_grant> primary_leases::consume_changes() {
--- a/src/entry/internal/primary_leases.h
+++ b/src/entry/internal/primary_leases.h
@@ -53,8 +53,8 @@
     /// The newest known order of each service that has one, for a report.
     [[nodiscard]] std::map<service_name, reported_order> known_orders() const;
 
-    /// Store revision of the service's newest known order; 0 when none is known.
-    [[nodiscard]] std::uint64_t order_revision(const service_name& service) const;
+    /// Fencing token of the service's newest known order; 0 when none is known.
+    [[nodiscard]] std::uint64_t order_fence(const service_name& service) const;
 
     /// Returns the permissions that have changed since the last call, by service.
     [[nodiscard]] std::map<service_name, fleet::primary_grant> consume_changes();
--- a/src/entry/internal/store_follower.h
+++ b/src/entry/internal/store_follower.h
@@ -13,13 +13,15 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace oriole::entry {
 
 /// Follows the store's objects of one kind: lists them, then waits for changes, and lists them
-/// again when the store no longer keeps the history. Not thread-safe; runs on the control thread.
+/// again when the store no longer keeps the history or was restored from an older copy. Not
+/// thread-safe; runs on the control thread.
 template <class Value>
 class store_follower {
 public:
@@ -46,7 +48,7 @@
         while (true) {
             if (tried && !m_should_follow()) {
                 // List again when watching resumes, to catch up on the changes in between.
-                m_revision = 0;
+                m_revision.reset();
                 co_await pause();
                 continue;
             }
@@ -54,13 +56,15 @@
             try {
                 co_await follow();
             } catch (const history_expired& gone) {
-                m_log.write(log_entry("store_history_gone").add("kind", m_name));
+                m_log.write(
+                    log_entry("store_history_gone").add("kind", m_name).add("reason", gone.what()));
                 set_reachable(true, gone.what());
-                m_revision = 0;
+                m_revision.reset();
                 m_history_expired = true;
                 continue;
             } catch (const store_unavailable& failure) {
                 set_reachable(false, failure.what());
+                m_era_is_certain = false;
             }
             co_await pause();
         }
@@ -73,12 +77,13 @@
     static constexpr std::chrono::seconds watch_timeout{30};
 
     [[nodiscard]] boost::asio::awaitable<void> follow() {
-        if (m_revision == 0) {
+        if (!m_revision) {
             // A list that may be out of date suffices: what it lacks follows as changes after its
             // revision.
             auto page = co_await m_kind.list(m_history_expired ? read_mode::newest
                                                                : read_mode::allow_stale);
             m_history_expired = false;
+            m_era_is_certain = false;
             set_reachable(true, "listed");
             m_revision = page.revision;
             log_page(page, "list");
@@ -88,7 +93,7 @@
             co_await pause();
         }
         while (m_should_follow()) {
-            auto page = co_await m_kind.changes_since(m_revision, watch_timeout);
+            const auto page = co_await next_changes();
             set_reachable(true, "changed");
             m_revision = page.revision;
             if (!page.objects.empty()) {
@@ -98,12 +103,25 @@
         }
     }
 
+    /// The changes after m_revision. Throws history_expired when they are of another era.
+    [[nodiscard]] boost::asio::awaitable<store_page<Value>> next_changes() {
+        // Since the last answer, the store may have been restored and have reached the number of
+        // m_revision again. A watch would then wait without telling the era.
+        const auto wait = m_era_is_certain ? watch_timeout : std::chrono::seconds::zero();
+        auto page = co_await m_kind.changes_since(*m_revision, wait);
+        if (page.revision.era != m_revision->era) {
+            throw history_expired("the store is in another era than revision " +
+                                  to_string(*m_revision));
+        }
+        m_era_is_certain = true;
+        co_return page;
+    }
+
     void log_page(const store_page<Value>& page, std::string_view source) {
         m_log.write(log_entry("store_page")
                         .add("kind", m_name)
                         .add("source", source)
-                        .add("era", page.era)
-                        .add("revision", page.revision)
+                        .add("revision", to_string(page.revision))
                         .add("objects", page.objects.size()));
     }
 
@@ -131,8 +149,10 @@
     page_handler m_on_page;
     health_handler m_on_health;
     condition m_should_follow; ///< whether this instance has to watch the store
-    /// Revision of the last page; 0 means that the objects have to be listed.
-    std::uint64_t m_revision = 0;
+    /// Revision of the last page; nullopt when the objects have to be listed.
+    std::optional<fleet::store_revision> m_revision;
+    /// Whether the store is known to be still in the era of m_revision.
+    bool m_era_is_certain = false;
     bool m_reachable = true;
     /// Set after history_expired: the next list has to be read with read_mode::newest, because the
     /// store may no longer keep the changes after the revision of a stale list.
--- a/src/entry/tests/fleet_state_test.cpp
+++ b/src/entry/tests/fleet_state_test.cpp
@@ -16,11 +16,15 @@
         config->version = 1;
         config->services[service_name("db")] = {21, 0};
         config->accounts.push_back({account_name("t"), {"key"}, 100, 100});
-        m_fleet.update_configuration(config, 1, "test");
+        m_fleet.update_configuration(config, rev(1), "test");
     }
 
     static clock::time_point at(clock::duration time) { return clock::time_point(time); }
 
+    static fleet::store_revision rev(std::uint64_t number, std::uint64_t era = 1) {
+        return {era, number};
+    }
+
     static store_entry<fleet::registered_server>
     entry(const std::string& name, std::uint64_t revision, bool primary, bool draining = false) {
         fleet::registered_server server;
@@ -29,13 +33,13 @@
         server.zone = zone_name("zone-" + name);
         server.primary = primary;
         server.draining = draining;
-        server.revision = revision;
-        return {name, revision, false, server};
+        server.revision = rev(revision);
+        return {name, rev(revision), false, server};
     }
 
     void list(std::vector<store_entry<fleet::registered_server>> entries, std::uint64_t revision,
               clock::duration time) {
-        m_fleet.update_servers({std::move(entries), revision}, true, at(time));
+        m_fleet.update_servers({std::move(entries), rev(revision)}, true, at(time));
         static_cast<void>(m_fleet.advance(at(time)));
     }
 
@@ -48,9 +52,9 @@
             peer.id = instance_id("peer" + std::to_string(i));
             peer.zone = zone_name("zone-a");
             peer.capacity = 1000;
-            listed.push_back({peer.id.str(), 2, false, peer});
+            listed.push_back({peer.id.str(), rev(2), false, peer});
         }
-        m_fleet.update_instances({listed, 2}, at(1s));
+        m_fleet.update_instances({listed, rev(2)}, at(1s));
     }
 
     static constexpr int strong_peers = 6;
@@ -98,9 +102,10 @@
 TEST_F(fleet_state_test, evacuated_zone_is_unusable_until_its_entry_is_removed) {
     list({entry("a", 2, true), entry("b", 3, false)}, 3, 1s);
     const zone_name zone("zone-b");
-    m_fleet.update_evacuations({{{"zone-b", 4, false, evacuation{zone}}}, 4}, false, at(1s));
+    m_fleet.update_evacuations({{{"zone-b", rev(4), false, evacuation{zone}}}, rev(4)}, false,
+                               at(1s));
     EXPECT_TRUE(view_of("b", 1s).evacuated);
-    m_fleet.update_evacuations({{{"zone-b", 5, true, std::nullopt}}, 5}, false, at(2s));
+    m_fleet.update_evacuations({{{"zone-b", rev(5), true, std::nullopt}}, rev(5)}, false, at(2s));
     EXPECT_FALSE(view_of("b", 2s).evacuated);
 }
 
@@ -108,16 +113,16 @@
 TEST_F(fleet_state_test, older_configuration_is_ignored) {
     auto newer = std::make_shared<fleet::configuration>();
     newer->version = 9;
-    m_fleet.update_configuration(newer, 9, "test");
+    m_fleet.update_configuration(newer, rev(9), "test");
     auto older = std::make_shared<fleet::configuration>();
     older->version = 3;
-    m_fleet.update_configuration(older, 3, "test");
+    m_fleet.update_configuration(older, rev(3), "test");
     EXPECT_EQ(m_fleet.make_view(at(1s)).config->version, 9);
 }
 
 // Guards against one unreadable server entry that makes the readable ones unusable.
 TEST_F(fleet_state_test, unreadable_server_entry_does_not_affect_the_others) {
-    list({entry("a", 2, true), {"odd", 3, false, std::nullopt}}, 3, 1s);
+    list({entry("a", 2, true), {"odd", rev(3), false, std::nullopt}}, 3, 1s);
     EXPECT_EQ(m_fleet.make_view(at(1s)).servers.at(service_name("db")).size(), 1U);
 }
 
@@ -156,7 +161,7 @@
     peer.id = instance_id("peer");
     peer.zone = zone_name("zone-b");
     peer.incarnation = 5;
-    m_fleet.update_instances({{{"peer", 2, false, peer}}, 2}, at(1s));
+    m_fleet.update_instances({{{"peer", rev(2), false, peer}}, rev(2)}, at(1s));
     m_fleet.mark_ended(peer.id, 5);
     ASSERT_TRUE(m_fleet.peers().empty());
     peer_report report;
@@ -206,24 +211,24 @@
     leased_fleet_state_test() {
         auto config = std::make_shared<fleet::configuration>();
         config->services[service_name("db")] = {21, 0};
-        m_leased.update_configuration(config, 1, "test");
+        m_leased.update_configuration(config, rev(1), "test");
         std::vector<store_entry<fleet::registered_instance>> listed;
         for (const auto* zone : {"zone-b", "zone-c"}) {
             fleet::registered_instance peer;
             peer.id = instance_id(std::string("in-") + zone);
             peer.zone = zone_name(zone);
-            listed.push_back({peer.id.str(), 2, false, peer});
+            listed.push_back({peer.id.str(), rev(2), false, peer});
         }
-        m_leased.update_instances({listed, 2}, at(1s));
+        m_leased.update_instances({listed, rev(2)}, at(1s));
     }
 
-    static peer_report confirmation(const std::string& from, std::uint64_t revision = 0) {
+    static peer_report confirmation(const std::string& from, std::uint64_t fence = 0) {
         peer_report report;
         report.from = instance_id(from);
         report.knows_orders = true;
         report.confirms_orders = true;
-        if (revision != 0) {
-            report.orders[service_name("db")] = {revision, server_name("target")};
+        if (fence != 0) {
+            report.orders[service_name("db")] = {fence, server_name("target")};
         }
         return report;
     }
@@ -272,8 +277,8 @@
 // Guards against a replaced primary that is taken for the primary again, because its own entry in
 // the store still says so.
 TEST_F(leased_fleet_state_test, entry_of_a_replaced_primary_does_not_change_the_primary) {
-    m_leased.learn_order({service_name("db"), instance_id("other"), server_name("b"), 7});
-    m_leased.update_servers({{entry("a", 9, true), entry("b", 8, false)}, 9}, true, at(11s));
+    m_leased.learn_order({service_name("db"), instance_id("other"), server_name("b"), 7, {}});
+    m_leased.update_servers({{entry("a", 9, true), entry("b", 8, false)}, rev(9)}, true, at(11s));
     EXPECT_EQ(m_leased.primary_monitor_of(service_name("db")).primary(), server_name("b"));
 }
 
@@ -285,7 +290,7 @@
     fleet::registered_instance neighbour;
     neighbour.id = answer.from;
     neighbour.zone = zone_name("zone-a");
-    m_leased.update_instances({{{neighbour.id.str(), 3, false, neighbour}}, 3}, at(2s));
+    m_leased.update_instances({{{neighbour.id.str(), rev(3), false, neighbour}}, rev(3)}, at(2s));
     m_leased.merge_report(answer, at(3s), at(3s));
     EXPECT_FALSE(m_leased.needs_orders());
 }
--- a/src/entry/tests/instance_registry_test.cpp
+++ b/src/entry/tests/instance_registry_test.cpp
@@ -23,10 +23,10 @@
     /// Lists this instance with the given heartbeat and `others` that never renew their entries.
     void list(int others, std::uint64_t own_heartbeats, clock::duration time) {
         store_page<fleet::registered_instance> page;
-        page.objects.push_back({"own", 1, false, instance("own", own_heartbeats)});
+        page.objects.push_back({"own", {1, 1}, false, instance("own", own_heartbeats)});
         for (int i = 0; i < others; ++i) {
             const auto name = "other" + std::to_string(i);
-            page.objects.push_back({name, 1, false, instance(name, 1)});
+            page.objects.push_back({name, {1, 1}, false, instance(name, 1)});
         }
         m_registry.update(page, at(time));
     }
@@ -94,5 +94,32 @@
     EXPECT_TRUE(m_registry.live().empty());
 }
 
+/// The list of a store that was restored from an older copy.
+class restored_instance_registry_test : public instance_registry_test {
+protected:
+    restored_instance_registry_test() {
+        list(1, 1, 0s);
+        m_registry.record_report(instance_id("other0"), 1);
+    }
+
+    /// Lists only this instance, in the given era.
+    void list_own(std::uint64_t era, std::uint64_t own_heartbeats, clock::duration time) {
+        m_registry.update({{{"own", {era, 1}, false, instance("own", own_heartbeats)}}, {era, 1}},
+                          at(time));
+    }
+};
+
+// Guards against a list of the earlier era, read from a replica of the store that lags, that
+// replaces a newer one.
+TEST_F(restored_instance_registry_test, list_of_the_earlier_era_is_ignored) {
+    store_page<fleet::registered_instance> page;
+    page.revision = {2, 1};
+    page.objects.push_back({"own", {2, 1}, false, instance("own", 2)});
+    page.objects.push_back({"other0", {2, 1}, false, instance("other0", 2)});
+    m_registry.update(page, at(3s));
+    list_own(1, 1, 12s);
+    EXPECT_EQ(m_registry.live().size(), 1U);
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/entry/tests/lease_model.cpp
+++ b/src/entry/tests/lease_model.cpp
@@ -84,15 +84,15 @@
 
 std::string lease_model::violation() const {
     for (const auto& each : m_gateways) {
-        if (each.grant.order_revision >= m_leading.revision || each.frozen_until > m_now) {
+        if (each.grant.order_fence >= m_leading.fence || each.frozen_until > m_now) {
             continue;
         }
         const bool expires = m_fault != planted_fault::no_renewal;
         const auto checked_at = expires ? m_now : clock::time_point{};
         if (each.grant.covers(each.grant.server, checked_at)) {
             return each.id.str() + " uses the primary of order " +
-                   std::to_string(each.grant.order_revision) + " while order " +
-                   std::to_string(m_leading.revision) + " leads";
+                   std::to_string(each.grant.order_fence) + " while order " +
+                   std::to_string(m_leading.fence) + " leads";
         }
     }
     return {};
@@ -100,7 +100,7 @@
 
 bool lease_model::all_may_use_primary() const {
     return std::all_of(m_gateways.begin(), m_gateways.end(), [this](const gateway& each) {
-        return each.grant.order_revision == m_leading.revision &&
+        return each.grant.order_fence == m_leading.fence &&
                each.grant.covers(m_leading.target, m_now);
     });
 }
@@ -203,8 +203,7 @@
     if (receiver.attempt) {
         auto& attempt = *receiver.attempt;
         const auto known = received.report.orders.find(service());
-        if (known != received.report.orders.end() &&
-            known->second.revision >= attempt.order.revision) {
+        if (known != received.report.orders.end() && known->second.fence >= attempt.order.fence) {
             attempt.revocation.released(sender.id, m_now);
         }
         if (attempt.waited) {
@@ -215,8 +214,8 @@
 
 void lease_model::merge(gateway& receiver, const peer_report& report) {
     for (const auto& [name, order] : report.orders) {
-        const bool newer = receiver.leases->learn({name, {}, order.target, order.revision});
-        if (newer && receiver.attempt && receiver.attempt->order.revision < order.revision) {
+        const bool newer = receiver.leases->learn({name, {}, order.target, order.fence, {}});
+        if (newer && receiver.attempt && receiver.attempt->order.fence < order.fence) {
             receiver.attempt.reset();
         }
     }
@@ -247,7 +246,7 @@
 }
 
 void lease_model::start_promotion(gateway& promoter) {
-    const bool last_one_took_effect = m_leading.revision == m_stored.revision;
+    const bool last_one_took_effect = m_leading.fence == m_stored.fence;
     if (promoter.attempt || promoter.frozen_until > m_now || m_pending) {
         return;
     }
@@ -256,7 +255,7 @@
     }
     auto order = m_stored;
     order.service = service();
-    order.revision = m_stored.revision + 1;
+    order.fence = m_stored.fence + 1;
     if (last_one_took_effect) {
         order.target = server(static_cast<int>(m_random() % server_count));
     }
@@ -278,7 +277,7 @@
 void lease_model::advance_promotion(std::size_t index) {
     auto& own = m_gateways[index];
     auto& attempt = *own.attempt;
-    if (m_stored.revision != attempt.order.revision) {
+    if (m_stored.fence != attempt.order.fence) {
         own.attempt.reset();
         return;
     }
--- a/src/entry/tests/lease_model.h
+++ b/src/entry/tests/lease_model.h
@@ -45,7 +45,7 @@
     /// Whether the last order was not carried out, because the gateway that wrote it was restarted
     /// or learned of it only later. Another instance has to repeat it.
     [[nodiscard]] bool order_unfinished() const noexcept {
-        return m_stored.revision != m_leading.revision;
+        return m_stored.fence != m_leading.fence;
     }
 
     [[nodiscard]] int promotions() const noexcept { return m_promotions; }
--- a/src/entry/tests/peer_report_codec_test.cpp
+++ b/src/entry/tests/peer_report_codec_test.cpp
@@ -19,7 +19,7 @@
         report.knows_orders = true;
         report.confirms_orders = true;
         report.orders[service_name("db")] = {12, server_name("s")};
-        report.revisions = {4, 5, 6};
+        report.revisions = {{3, {2, 4}}, {2, 5}, {2, 6}};
         peer_service_report service;
         service.primary = server_name("s");
         service.answer_age = 1500us;
@@ -27,14 +27,16 @@
         service.proven_server = server_name("s");
         service.position = machines::log_position(2, 9);
         service.proof_age = 250us;
-        service.order_revision = 12;
+        service.order_fence = 12;
         service.order_age = 4s;
         report.services[service_name("db")] = service;
         fleet::registered_server server;
         server.id = server_name("s");
         server.address = endpoint("10.0.0.1", 80);
+        server.sequence = 8;
+        server.revision = {2, 5};
         report.servers = {server};
-        report.evacuated = {zone_name("z")};
+        report.evacuated = {{zone_name("z"), {1, 6}}};
         return report;
     }
 };
--- a/src/entry/types/peer_report.h
+++ b/src/entry/types/peer_report.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/types/name.h"
 #include "entry/fleet_store.h"
+#include "fleet/types/configuration_rank.h"
 #include "machines/types/log_position.h"
 
 #include <cstdint>
@@ -24,25 +25,33 @@
     std::optional<machines::log_position> position; ///< log position of the newest position proof
     /// Age of the position proof, rounded up so that it is never understated.
     clock::duration proof_age{};
-    std::uint64_t order_revision = 0; ///< revision of the last promotion order; 0 when unknown
-    clock::duration order_age{};      ///< lower bound of the age of that promotion order
+    std::uint64_t order_fence = 0; ///< fencing token of the last promotion order; 0 when unknown
+    clock::duration order_age{};   ///< lower bound of the age of that promotion order
 
     friend bool operator==(const peer_service_report&, const peer_service_report&) = default;
 };
 
 /// The newest promotion order of a service that an instance knows.
 struct reported_order {
-    std::uint64_t revision = 0; ///< store revision of the order
+    std::uint64_t fence = 0; ///< fencing token of the order
     server_name target;
 
     friend bool operator==(const reported_order&, const reported_order&) = default;
 };
 
+/// An evacuation, and the store revision of its entry.
+struct reported_evacuation {
+    zone_name zone;
+    fleet::store_revision revision;
+
+    friend bool operator==(const reported_evacuation&, const reported_evacuation&) = default;
+};
+
 /// The store's revisions up to which an instance knows each kind of object.
 struct known_revisions {
-    std::uint64_t configuration = 0;
-    std::uint64_t servers = 0;
-    std::uint64_t evacuations = 0;
+    fleet::configuration_rank configuration;
+    fleet::store_revision servers;
+    fleet::store_revision evacuations;
 
     friend bool operator==(const known_revisions&, const known_revisions&) = default;
 };
@@ -60,6 +69,9 @@
     /// In an answer: groups whose rate shares are now lent to the requesting instance.
     std::set<int> granted_loans;
     known_revisions revisions;
+    /// False in a report of a version of the program that knows no eras. Its revisions are taken to
+    /// be of the receiver's era, as long as the store was not restored.
+    bool states_eras = true;
     bool isolated = false; ///< the sender considers its zone cut off from the others
     bool leaving = false;  ///< the sender is shutting down and admits no more operations
     /// The sender has read the promotion orders from the store since its start.
@@ -72,7 +84,7 @@
     std::map<service_name, peer_service_report> services;
     std::shared_ptr<const fleet::configuration> configuration;
     std::optional<std::vector<fleet::registered_server>> servers;
-    std::optional<std::vector<zone_name>> evacuated;
+    std::optional<std::vector<reported_evacuation>> evacuated;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/fleet/internal/primary_lease.cpp
+++ b/src/fleet/internal/primary_lease.cpp
@@ -6,19 +6,19 @@
 
 namespace oriole::fleet {
 
-bool primary_lease::learn(std::uint64_t order_revision, const server_name& target) {
-    if (order_revision <= m_order_revision) {
+bool primary_lease::learn(std::uint64_t order_fence, const server_name& target) {
+    if (order_fence <= m_order_fence) {
         return false;
     }
-    m_order_revision = order_revision;
+    m_order_fence = order_fence;
     m_target = target;
     m_confirmed.clear();
     return true;
 }
 
-void primary_lease::confirm(const zone_name& zone, std::uint64_t order_revision,
+void primary_lease::confirm(const zone_name& zone, std::uint64_t order_fence,
                             clock::time_point asked) {
-    if (order_revision != m_order_revision || zone == m_own_zone) {
+    if (order_fence != m_order_fence || zone == m_own_zone) {
         return;
     }
     auto& newest = m_confirmed.try_emplace(zone, asked).first->second;
@@ -28,7 +28,7 @@
 primary_grant primary_lease::grant() const {
     primary_grant grant;
     grant.server = m_target;
-    grant.order_revision = m_order_revision;
+    grant.order_fence = m_order_fence;
     const auto other_zones_needed = majority_of(m_zone_count) - 1;
     if (other_zones_needed == 0) {
         grant.expires_at = clock::time_point::max();
--- a/src/fleet/internal/promotion_lease.cpp
+++ b/src/fleet/internal/promotion_lease.cpp
@@ -14,25 +14,25 @@
 
 } // namespace
 
-void promotion_lease::seen(const service_name& service, std::uint64_t revision,
-                           clock::time_point at) {
+void promotion_lease::seen(const service_name& service, std::uint64_t fence, clock::time_point at) {
     auto& known = m_orders[service];
-    if (revision > known.revision) {
-        known = {revision, at};
-    } else if (revision == known.revision) {
+    if (fence > known.fence) {
+        known = {fence, at};
+    } else if (fence == known.fence) {
         known.at = std::min(known.at, at);
     }
 }
 
 bool promotion_lease::may_promote(const promotion_order& last, clock::time_point now) {
-    if (last.revision == 0) {
-        return true;
+    if (last.fence != 0) {
+        seen(last.service, last.fence, now);
     }
-    seen(last.service, last.revision, now);
-    if (last.holder == m_own) {
+    const auto known = newest(last.service);
+    if (!known || (last.fence == known->fence && last.holder == m_own)) {
         return true;
     }
-    return now - m_orders.at(last.service).at >= lease_period;
+    // A reported order that is newer than `last` was lost with a restore of the store.
+    return now - known->at >= lease_period;
 }
 
 std::optional<promotion_time> promotion_lease::newest(const service_name& service) const {
--- a/src/fleet/internal/ranked_primary_monitor.cpp
+++ b/src/fleet/internal/ranked_primary_monitor.cpp
@@ -25,7 +25,8 @@
     ranked_primary_monitor(registered_instance own, primary_leasing leasing)
         : m_own(std::move(own)), m_leasing(leasing) {}
 
-    void listed(const std::vector<registered_server>& servers, std::uint64_t revision) override {
+    void listed(const std::vector<registered_server>& servers,
+                const store_revision& revision) override {
         const registered_server* newest = nullptr;
         for (const auto& server : servers) {
             if (server.primary && (newest == nullptr || server.revision > newest->revision)) {
@@ -188,8 +189,8 @@
     primary_leasing m_leasing;
     bool m_ordered = false; ///< a promotion order is known
     server_name m_primary;
-    std::uint64_t m_primary_revision = 0; ///< store revision at which m_primary was set
-    std::uint64_t m_store_revision = 0;
+    store_revision m_primary_revision; ///< store revision at which m_primary was set
+    store_revision m_store_revision;
     std::uint64_t m_term = 0;
     bool m_promotion_failed = false;
     bool m_just_promoted = false; ///< due_change() has yet to set m_promoted_at
--- a/src/fleet/primary_lease.h
+++ b/src/fleet/primary_lease.h
@@ -37,17 +37,17 @@
 
     /// Records a promotion order that exists in the store. Returns true when it is the newest one
     /// known; the lease then has to be confirmed anew.
-    bool learn(std::uint64_t order_revision, const server_name& target);
+    bool learn(std::uint64_t order_fence, const server_name& target);
 
-    /// Records that a gateway in `zone` knew no order newer than `order_revision` when it answered.
+    /// Records that a gateway in `zone` knew no order newer than `order_fence` when it answered.
     /// `asked` is the time before it was asked.
-    void confirm(const zone_name& zone, std::uint64_t order_revision, clock::time_point asked);
+    void confirm(const zone_name& zone, std::uint64_t order_fence, clock::time_point asked);
 
     /// The permission to use the primary, which may have expired.
     [[nodiscard]] primary_grant grant() const;
 
-    /// Store revision of the newest known order; 0 when none is known.
-    [[nodiscard]] std::uint64_t order_revision() const noexcept { return m_order_revision; }
+    /// Fencing token of the newest known order; 0 when none is known.
+    [[nodiscard]] std::uint64_t order_fence() const noexcept { return m_order_fence; }
 
     /// Target of the newest known order; empty when none is known.
     [[nodiscard]] const server_name& target() const noexcept { return m_target; }
@@ -55,9 +55,9 @@
 private:
     zone_name m_own_zone;
     std::size_t m_zone_count;
-    std::uint64_t m_order_revision = 0;
+    std::uint64_t m_order_fence = 0;
     server_name m_target;
-    /// Last confirmation of m_order_revision, by zone. Contains no entry for the own zone.
+    /// Last confirmation of m_order_fence, by zone. Contains no entry for the own zone.
     std::map<zone_name, clock::time_point> m_confirmed;
 };
 
--- a/src/fleet/primary_monitor.h
+++ b/src/fleet/primary_monitor.h
@@ -52,7 +52,8 @@
     virtual ~primary_monitor() = default;
 
     /// Processes a new server list. `revision` is the store revision at which it was read.
-    virtual void listed(const std::vector<registered_server>& servers, std::uint64_t revision) = 0;
+    virtual void listed(const std::vector<registered_server>& servers,
+                        const store_revision& revision) = 0;
 
     /// Records that `server` proved that it is the primary in the term of the log position
     /// `position`.
--- a/src/fleet/promotion_lease.h
+++ b/src/fleet/promotion_lease.h
@@ -12,8 +12,8 @@
 
 /// A promotion order and an upper bound for the time at which it was written to the store.
 struct promotion_time {
-    std::uint64_t revision = 0; ///< store revision of the promotion order
-    clock::time_point at{};     ///< earliest time at which the order is known to have existed
+    std::uint64_t fence = 0; ///< fencing token of the promotion order
+    clock::time_point at{};  ///< earliest time at which the order is known to have existed
 
     friend bool operator==(const promotion_time&, const promotion_time&) = default;
 };
@@ -25,14 +25,14 @@
 public:
     explicit promotion_lease(instance_id own) : m_own(std::move(own)) {}
 
-    /// Records that the service's promotion order with store revision `revision` existed at `at`.
-    void seen(const service_name& service, std::uint64_t revision, clock::time_point at);
+    /// Records that the service's promotion order with the fencing token `fence` existed at `at`.
+    void seen(const service_name& service, std::uint64_t fence, clock::time_point at);
 
-    /// Whether this instance may write the next promotion order of the service. `last` is the order
-    /// that the store holds at `now`.
+    /// Whether this instance may write the next promotion order of the service. `last` is the
+    /// newest order that it knows at `now`, from the store or from before a restore of the store.
     [[nodiscard]] bool may_promote(const promotion_order& last, clock::time_point now);
 
-    /// The known promotion order with the highest revision; nullopt when none is known.
+    /// The known promotion order with the highest fencing token; nullopt when none is known.
     [[nodiscard]] std::optional<promotion_time> newest(const service_name& service) const;
 
 private:
--- a/src/fleet/server_directory.h
+++ b/src/fleet/server_directory.h
@@ -11,23 +11,25 @@
 namespace oriole::fleet {
 
 /// The backend servers registered in the store. A server whose entry is missing after a store
-/// outage is removed only once it had time to register again. Not thread-safe; owned by the control
-/// thread.
+/// outage or a restore is removed only once it had time to register again. An entry that a restored
+/// store holds from an earlier time does not replace a newer one or bring back a removed server.
+/// Not thread-safe; owned by the control thread.
 class server_directory {
 public:
     virtual ~server_directory() = default;
 
     /// Replaces the directory with the store's complete list at store revision `revision`. Lists
     /// that are older than the directory are ignored.
-    virtual void replace(std::vector<registered_server> servers, std::uint64_t revision,
+    virtual void replace(std::vector<registered_server> servers, const store_revision& revision,
                          clock::time_point now) = 0;
 
     /// Applies a changed entry of a server, read at store revision `revision`.
-    virtual void update(const registered_server& server, std::uint64_t revision,
+    virtual void update(const registered_server& server, const store_revision& revision,
                         clock::time_point now) = 0;
 
     /// Applies the removal of a server's entry, which happened at store revision `revision`.
-    virtual void remove(const server_name& id, std::uint64_t revision, clock::time_point now) = 0;
+    virtual void remove(const server_name& id, const store_revision& revision,
+                        clock::time_point now) = 0;
 
     /// Starts the grace period for servers to register again, after a store outage has ended.
     virtual void store_reconnected(clock::time_point now) = 0;
@@ -37,7 +39,7 @@
     [[nodiscard]] virtual bool expire(clock::time_point now) = 0;
 
     /// The newest store revision that the directory reflects.
-    [[nodiscard]] virtual std::uint64_t revision() const = 0;
+    [[nodiscard]] virtual store_revision revision() const = 0;
 
     [[nodiscard]] virtual std::vector<registered_server> servers() const = 0;
 };
--- a/src/fleet/tests/primary_monitor_test.cpp
+++ b/src/fleet/tests/primary_monitor_test.cpp
@@ -21,12 +21,12 @@
             server.id = server_name("s" + std::to_string(i));
             server.zone = zone_name("z" + std::to_string(i));
             server.primary = i == 0;
-            server.revision = 1;
+            server.revision = {1, 1};
             m_inputs.servers.push_back(server);
         }
         m_inputs.service = service_name("db");
         m_inputs.last_promoter = m_inputs.instances[0].id;
-        m_monitor->listed(m_inputs.servers, 1);
+        m_monitor->listed(m_inputs.servers, {1, 1});
     }
 
     static clock::time_point at(clock::duration time) { return clock::time_point(time); }
@@ -150,8 +150,8 @@
 TEST_F(primary_monitor_test, newer_server_entry_determines_the_primary) {
     m_inputs.servers[0].primary = false;
     m_inputs.servers[1].primary = true;
-    m_inputs.servers[1].revision = 7;
-    m_monitor->listed(m_inputs.servers, 7);
+    m_inputs.servers[1].revision = {1, 7};
+    m_monitor->listed(m_inputs.servers, {1, 7});
     EXPECT_EQ(m_monitor->primary(), replica);
 }
 
--- a/src/fleet/tests/promotion_lease_test.cpp
+++ b/src/fleet/tests/promotion_lease_test.cpp
@@ -11,8 +11,8 @@
 protected:
     static clock::time_point at(clock::duration time) { return clock::time_point(1h + time); }
 
-    static promotion_order order_of(const std::string& holder, std::uint64_t revision) {
-        return {service_name("db"), instance_id(holder), server_name("s"), revision};
+    static promotion_order order_of(const std::string& holder, std::uint64_t fence) {
+        return {service_name("db"), instance_id(holder), server_name("s"), fence, {}};
     }
 
     promotion_lease m_lease{instance_id("own")};
@@ -46,7 +46,15 @@
     m_lease.seen(service_name("db"), 5, at(1s));
     EXPECT_FALSE(m_lease.may_promote(order_of("other", 6), at(10s)));
     m_lease.seen(service_name("db"), 5, at(2s));
-    EXPECT_EQ(m_lease.newest(service_name("db"))->revision, 6U);
+    EXPECT_EQ(m_lease.newest(service_name("db"))->fence, 6U);
+}
+
+// Guards against two instances that promote servers of one service in turn, because a restored
+// store has lost the other instance's order and holds this instance's earlier one.
+TEST_F(promotion_lease_test, own_order_does_not_stand_for_a_newer_one_that_was_lost) {
+    m_lease.seen(service_name("db"), 6, at(1s));
+    EXPECT_FALSE(m_lease.may_promote(order_of("own", 5), at(2s)));
+    EXPECT_TRUE(m_lease.may_promote(order_of("own", 5), at(6s)));
 }
 
 } // namespace
--- a/src/fleet/types/registered_server.h
+++ b/src/fleet/types/registered_server.h
@@ -2,6 +2,7 @@
 
 #include "base/types/endpoint.h"
 #include "base/types/name.h"
+#include "fleet/types/store_revision.h"
 
 #include <cstdint>
 
@@ -18,7 +19,10 @@
     /// Start of the server's process, in ms since 1970. A server that was restarted has lost its
     /// connections and prepared statements.
     std::int64_t start_time_ms = 0;
-    std::uint64_t revision = 0; ///< store revision of the entry's last change
+    /// Number of the server's write of this entry; increases from write to write of one process. 0
+    /// when it is not known.
+    std::uint64_t sequence = 0;
+    store_revision revision; ///< store revision of the entry's last change
 
     friend bool operator==(const registered_server&, const registered_server&) = default;
 };
