Write again what a restored store has lost of this program's objects

Cause: only what was written on a schedule was written again; nothing noticed the restore. Change: the first page or report of a later era tells the control thread, which registers again after a random pause that grows with the fleet, and writes the promotion orders that it holds again with their fencing tokens. Instances that reported stay known for 5 s while they register.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -20,6 +20,10 @@
 
 constexpr clock::duration flush_interval = 200ms;
 constexpr clock::duration registration_retry = 500ms;
+/// After a restore of the store, the instances register again within this time for each of them, so
+/// that a large fleet stays below the store's limit of calls.
+constexpr clock::duration reregistration_time_per_instance = 5ms;
+constexpr std::int64_t random_steps = 1000;
 /// Interval at which the instance checks whether it has to read the promotion orders.
 constexpr clock::duration orders_check_interval = 100ms;
 /// Minimum time between two requests for the list of instances, which limits the load on the store
@@ -51,6 +55,7 @@
       m_log(log),
       m_metrics(metrics),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+      m_renewal_timer(m_io),
       m_own(make_own(settings)),
       m_fleet(m_own, log,
               settings.fenced_promotions ? fleet::primary_leasing::not_needed
@@ -153,10 +158,29 @@
         const bool first = !m_published.ready;
         const bool listed = registered && co_await list_instances(first ? read_mode::newest
                                                                         : read_mode::allow_stale);
-        co_await pause(listed ? m_fleet.renewal_interval() : registration_retry);
+        co_await wait_for_renewal(listed ? m_fleet.renewal_interval() : registration_retry);
     }
 }
 
+asio::awaitable<void> control_thread::wait_for_renewal(clock::duration time) {
+    m_renewal_timer.expires_after(time);
+    boost::system::error_code ended_early;
+    co_await m_renewal_timer.async_wait(asio::redirect_error(asio::use_awaitable, ended_early));
+    if (ended_early) {
+        // All instances register again after a restore. The random pause spreads their calls.
+        const auto spread = reregistration_time_per_instance *
+                            static_cast<std::int64_t>(m_fleet.peers().size() + 1);
+        co_await pause(spread * (make_random_source()->next() % random_steps) / random_steps);
+    }
+}
+
+void control_thread::on_store_restored() {
+    const auto now = steady_clock().now();
+    m_fleet.store_reconnected(now);
+    m_renewal_timer.cancel();
+    m_changer.restore_lost_orders();
+}
+
 asio::awaitable<bool> control_thread::register_once() {
     ++m_own.heartbeats;
     try {
@@ -310,6 +334,9 @@
 
 void control_thread::publish() {
     const auto now = steady_clock().now();
+    if (m_fleet.consume_store_restored()) {
+        on_store_restored();
+    }
     static_cast<void>(m_fleet.advance(now));
     if (m_fleet.consume_roles_changed()) {
         m_peers.exchange_with_all();
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -44,6 +44,11 @@
     void start_followers();
     [[nodiscard]] boost::asio::awaitable<void> maintain_registration();
     [[nodiscard]] boost::asio::awaitable<bool> register_once();
+    /// Waits until this instance's entry has to be written again: after `time`, or sooner when the
+    /// store was restored from an older copy.
+    [[nodiscard]] boost::asio::awaitable<void> wait_for_renewal(clock::duration time);
+    /// Makes up for what the restored store has lost.
+    void on_store_restored();
     [[nodiscard]] boost::asio::awaitable<bool> list_instances(read_mode mode);
     /// Reads the promotion orders from the store whenever they are needed.
     [[nodiscard]] boost::asio::awaitable<void> read_orders();
@@ -63,6 +68,7 @@
     metric_registry& m_metrics;
     boost::asio::io_context m_io;
     boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_renewal_timer;
     fleet::registered_instance m_own;
     fleet_state m_fleet;
     std::unique_ptr<fleet_store> m_store;
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -113,6 +113,7 @@
     }
     if (m_era != 0) {
         m_log.write(log_entry("store_restored").add("era", era).add("era_before", m_era));
+        m_store_restored = true;
     }
     m_era = era;
 }
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -49,6 +49,10 @@
     void update_instances(const store_page<fleet::registered_instance>& page,
                           clock::time_point now);
 
+    /// Returns whether the store was restored from an older copy since the last call. What this
+    /// instance wrote to it may be lost.
+    [[nodiscard]] bool consume_store_restored() { return std::exchange(m_store_restored, false); }
+
     /// Records that the store answers again after an outage.
     void store_reconnected(clock::time_point now) { m_directory->store_reconnected(now); }
 
@@ -263,6 +267,7 @@
     std::map<instance_id, report_sequence> m_last_sequences;
     std::uint64_t m_last_own_sequence = 0; ///< sequence number of this instance's last report
     std::uint64_t m_era = 0;               ///< newest known era of the store
+    bool m_store_restored = false;
     bool m_roles_changed = false;
     bool m_order_learned = false;
     bool m_isolated = false;
--- a/src/entry/internal/instance_registry.cpp
+++ b/src/entry/internal/instance_registry.cpp
@@ -16,6 +16,9 @@
 /// interval is reached.
 constexpr clock::duration renewal_time_per_instance = 100ms;
 
+/// Time for the instances to register again after a restore of the store.
+constexpr clock::duration reregistration_period = 5s;
+
 /// An instance is considered dead when its entry has not been renewed for this long before the last
 /// renewal of this instance's own entry. The limit spans three renewal intervals, because the store
 /// may reject a single instance for a while.
@@ -36,6 +39,9 @@
     if (page.revision.era < m_era) {
         return;
     }
+    if (m_era != 0 && page.revision.era > m_era) {
+        m_reregistration_end = now + reregistration_period;
+    }
     m_era = page.revision.era;
     std::map<instance_id, seen_instance> next;
     for (const auto& object : page.objects) {
@@ -49,6 +55,16 @@
                              before->second.listed.heartbeats != listed.heartbeats;
         next[listed.id] = {listed, renewed ? now : before->second.heartbeat_at};
     }
+    if (m_reregistration_end && now < *m_reregistration_end) {
+        for (const auto& [id, known] : m_listed) {
+            const auto listed = next.find(id);
+            const bool differs = listed == next.end() ||
+                                 listed->second.listed.incarnation != known.listed.incarnation;
+            if (differs && m_contacted.contains(id)) {
+                next[id] = known;
+            }
+        }
+    }
     const auto own = next.find(m_own.id);
     if (own != next.end() && own->second.listed.incarnation == m_own.incarnation) {
         m_own_heartbeat_at = own->second.heartbeat_at;
--- a/src/entry/internal/instance_registry.h
+++ b/src/entry/internal/instance_registry.h
@@ -20,7 +20,8 @@
     explicit instance_registry(fleet::registered_instance own) : m_own(std::move(own)) {}
 
     /// Replaces the known instances with the store's complete list. A list of an earlier era is
-    /// ignored.
+    /// ignored. For a while after a restore of the store, instances that reported stay known as
+    /// they reported, until they have registered again.
     void update(const store_page<fleet::registered_instance>& page, clock::time_point now);
 
     /// Records that the instance has reported with this incarnation, which identifies its process
@@ -88,7 +89,8 @@
     std::map<instance_id, refusal> m_refusals; ///< last refused connection, by instance
     std::set<instance_id> m_contacted; ///< instances that have reported since this process started
     std::optional<clock::time_point> m_own_heartbeat_at;
-    std::uint64_t m_era = 0; ///< the store's era of the last list
+    std::uint64_t m_era = 0;                               ///< the store's era of the last list
+    std::optional<clock::time_point> m_reregistration_end; ///< after the last restore
     std::vector<fleet::registered_instance> m_live;
     bool m_has_list = false;
     bool m_changed = false;
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -247,6 +247,46 @@
     return newest;
 }
 
+void primary_changer::restore_lost_orders() {
+    for (const auto& [service, order] : m_last_orders) {
+        if (order.holder == m_fleet.own()) {
+            asio::co_spawn(m_executor, restore_order(order), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> primary_changer::restore_order(fleet::promotion_order order) {
+    while (m_last_orders[order.service].fence == order.fence) {
+        std::string outcome;
+        bool has_answer = true;
+        try {
+            outcome = co_await write_if_lost(order);
+        } catch (const store_unavailable& failure) {
+            outcome = failure.what();
+            has_answer = false;
+        }
+        m_log.write(log_entry("promotion_order")
+                        .add("service", order.service.str())
+                        .add("target", order.target.str())
+                        .add("fence", order.fence)
+                        .add("outcome", outcome));
+        if (has_answer) {
+            co_return;
+        }
+        co_await pause(m_executor, failure_pause);
+    }
+}
+
+asio::awaitable<std::string> primary_changer::write_if_lost(fleet::promotion_order order) {
+    const auto stored = co_await m_store.promotion_order_of(order.service);
+    if (stored.fence >= order.fence) {
+        co_return "present";
+    }
+    order.revision = stored.revision;
+    const auto written = co_await m_store.record_promotion(std::move(order));
+    co_return written ? "written_again" : "replaced";
+}
+
 asio::awaitable<std::optional<fleet::promotion_order>>
 primary_changer::store_order(fleet::promotion_order order) {
     try {
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -32,6 +32,10 @@
     /// Starts the changes of primary that are due and not yet in progress.
     void start_due_changes(clock::time_point now);
 
+    /// Writes this instance's last orders again where a restored store lacks them. An instance that
+    /// starts later learns the orders from the store.
+    void restore_lost_orders();
+
 private:
     struct candidate_status {
         server_name server;
@@ -58,6 +62,11 @@
     [[nodiscard]] boost::asio::awaitable<fleet::promotion_order>
     current_order(service_name service);
     [[nodiscard]] fleet::promotion_order newest_known(fleet::promotion_order stored);
+    /// Writes the order again, unless the store has it or a newer one. Tries until the store
+    /// answers or this instance knows a newer order.
+    [[nodiscard]] boost::asio::awaitable<void> restore_order(fleet::promotion_order order);
+    /// Returns the outcome, for the log. Throws store_unavailable.
+    [[nodiscard]] boost::asio::awaitable<std::string> write_if_lost(fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<std::optional<fleet::promotion_order>>
     store_order(fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
--- a/src/entry/tests/instance_registry_test.cpp
+++ b/src/entry/tests/instance_registry_test.cpp
@@ -23,6 +23,7 @@
     /// Lists this instance with the given heartbeat and `others` that never renew their entries.
     void list(int others, std::uint64_t own_heartbeats, clock::duration time) {
         store_page<fleet::registered_instance> page;
+        page.revision = {1, 1};
         page.objects.push_back({"own", {1, 1}, false, instance("own", own_heartbeats)});
         for (int i = 0; i < others; ++i) {
             const auto name = "other" + std::to_string(i);
@@ -109,6 +110,27 @@
     }
 };
 
+// Guards against a running instance that counts as gone, because the restored store has lost its
+// entry and it has not registered again yet.
+TEST_F(restored_instance_registry_test, instance_that_reported_stays_known_while_it_registers) {
+    list_own(2, 2, 3s);
+    EXPECT_EQ(m_registry.live().size(), 1U);
+    list_own(2, 3, 9s);
+    EXPECT_TRUE(m_registry.live().empty());
+}
+
+// Guards against a restarted instance that is addressed as its earlier process, because the
+// restored store has the entry of that process.
+TEST_F(restored_instance_registry_test, restored_entry_of_an_earlier_process_is_not_used) {
+    auto restarted = instance("other0", 1);
+    restarted.incarnation = 2;
+    m_registry.update({{{"other0", {1, 9}, false, restarted}}, {1, 9}}, at(1s));
+    m_registry.record_report(instance_id("other0"), 2);
+    m_registry.update({{{"other0", {2, 1}, false, instance("other0", 1)}}, {2, 1}}, at(3s));
+    ASSERT_EQ(m_registry.live().size(), 1U);
+    EXPECT_EQ(m_registry.live().front().incarnation, 2U);
+}
+
 // Guards against a list of the earlier era, read from a replica of the store that lags, that
 // replaces a newer one.
 TEST_F(restored_instance_registry_test, list_of_the_earlier_era_is_ignored) {
--- a/src/entry/tests/restored_store_test.cpp
+++ b/src/entry/tests/restored_store_test.cpp
@@ -136,6 +136,22 @@
     EXPECT_FALSE(m_fleet.make_view(at(5s)).servers.at(service).front().evacuated);
 }
 
+// Guards against an instance that does not write its lost objects again, or writes them at each
+// answer.
+TEST_F(restored_store_test, restore_is_noticed_once) {
+    EXPECT_FALSE(m_fleet.consume_store_restored());
+    restore();
+    restore();
+    EXPECT_TRUE(m_fleet.consume_store_restored());
+    EXPECT_FALSE(m_fleet.consume_store_restored());
+}
+
+// Guards against an instance that watches nothing itself and does not notice the restore.
+TEST_F(restored_store_test, restore_is_noticed_from_a_report) {
+    m_fleet.merge_report(report(9, "a", {2, 27}), at(4s), at(5s));
+    EXPECT_TRUE(m_fleet.consume_store_restored());
+}
+
 /// Reports of a version of the program that states no eras, as during a rolling restart.
 class report_without_eras_test : public restored_store_test {
 protected:
--- a/tests/process/restored_store_test.py
+++ b/tests/process/restored_store_test.py
@@ -175,6 +175,22 @@
         self.assertGreaterEqual(len(self.platform.fences), 2)
 
 
+    # Guards against two instances that promote in turn, because a restored store has lost the order
+    # of the first.
+    def test_lost_promotion_order_is_written_again_with_its_token(self):
+        session = self.session()
+        older = self.take_copy()
+        self.platform.call(self.server("i-0").crash)
+        self.run_until_done(session, "WRITE a one")
+        fence = self.platform.fences[-1]
+        self.restore(older)
+        self.wait(lambda: self.stored_fence() == fence, "the order in the restored store")
+
+    def stored_fence(self):
+        orders = self.platform.store.objects.get("oriole-promotions", {}).values()
+        return next((order["spec"].get("fence") for order in orders), None)
+
+
 class RegistrationTest(RestoredStoreTest):
     # Guards against an instance whose entry is lost with the restore and stays out of the list,
     # so that the others do not know it.
