End waiting watches when the store was restored

Other calls had told of the restore by then. Cause: a watch of the earlier era waits for a revision that the restored store reaches only later, and nothing ended it. Change: when a later era becomes known, the waiting watches are canceled and their kinds are listed again.

--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -95,6 +95,9 @@
     /// The last promotion order of each service.
     [[nodiscard]] virtual object_collection<fleet::promotion_order>& promotions() = 0;
 
+    /// Makes the calls of changes_since() that are waiting fail with store_unavailable.
+    virtual void cancel_waits() = 0;
+
     /// Creates or replaces the entry of an instance. Throws store_unavailable.
     [[nodiscard]] virtual boost::asio::awaitable<void>
     register_instance(fleet::registered_instance instance) = 0;
--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -177,6 +177,8 @@
 void control_thread::on_store_restored() {
     const auto now = steady_clock().now();
     m_fleet.store_reconnected(now);
+    // A watch of the earlier era may wait for a revision that the store reaches only much later.
+    m_store->cancel_waits();
     m_renewal_timer.cancel();
     m_changer.restore_lost_orders();
 }
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -16,6 +16,7 @@
         self.oldest_revision = 0
         self.changed = asyncio.Condition()
         self.down = False
+        self.silent_kinds = set()  # kinds whose waiting watches are not cut off by a restore
         self.lost_answers = 0
         self.calls = 0
 
@@ -97,6 +98,9 @@
             await self.put(kind, name, body["spec"])
         return 200, self.objects[kind][name]
 
+    def is_cut_off(self, kind, era):
+        return self.down or (self.era != era and kind not in self.silent_kinds)
+
     async def watch(self, kind, since, wait_ms):
         if not self.oldest_revision <= since <= self.revision:
             return 410, {}
@@ -108,7 +112,7 @@
         async with self.changed:
             try:
                 await asyncio.wait_for(self.changed.wait_for(
-                    lambda: changes() or self.down or self.era != era),
+                    lambda: self.is_cut_off(kind, era) or (self.era == era and changes())),
                                        wait_ms / 1000)
             except asyncio.TimeoutError:
                 pass
--- a/tests/process/restored_store_test.py
+++ b/tests/process/restored_store_test.py
@@ -8,6 +8,8 @@
 
 # The time for which a state that must not change is watched; it spans two polls of the peers.
 WATCH_S = 2.5
+# As CONTRIBUTING.md: a change is in force everywhere within this time.
+IN_FORCE_S = 4.0
 # The time for a change in the store to reach all instances.
 SETTLE_S = 1.5
 
@@ -73,6 +75,19 @@
         self.platform.call(restore_and_pass_the_old_revision)
         self.wait_for_key("new-key")
 
+    # Guards against a watch whose connection has gone silent with the restore: it would wait for its
+    # whole time, although the other watches have told of the restore.
+    def test_configuration_comes_into_force_although_its_watch_stays_silent(self):
+        older = self.take_copy()
+        self.write_every_kind()
+        self.platform.store.silent_kinds = {"config"}
+        self.restore(older)
+        self.platform.keys["acme"].append("new-key")
+        self.publish()
+        published = time.monotonic()
+        self.wait_for_key("new-key")
+        self.assertLess(time.monotonic() - published, IN_FORCE_S)
+
     # Guards against a withdrawn key that is accepted again, because the copy still has it.
     def test_configuration_of_the_copy_does_not_replace_a_newer_one(self):
         older = self.take_copy()
