Number a configuration above the generations that instances use

A platform that came back from an older copy gave generation numbers out again, so a configuration that oriolectl had reported as accepted came into force at no instance: instances only switch to a higher generation. Cause: the next number was taken from the platform's head alone. A head names the generation that it replaced, so that the history and the search for an operation go on over skipped numbers. After a loss of contact, a watcher reads the head again before it watches, because the restored platform may have reached the watched revision again.

--- a/src/app/internal/fleet_supervisor.cpp
+++ b/src/app/internal/fleet_supervisor.cpp
@@ -335,6 +335,9 @@
             first = false;
         } catch (const error& failure) {
             failed = true;
+            // The platform may come back from an older copy and reach m_revision again, so that a
+            // watch from there would miss changes.
+            m_head_loaded = false;
             LOG_EVERY_N(WARNING, 60)
                 << "cannot watch the configuration at the platform; asking peers instead; reason=\""
                 << failure.what() << "\"";
--- a/src/ctl/internal/change_publisher.cpp
+++ b/src/ctl/internal/change_publisher.cpp
@@ -72,9 +72,16 @@
 site::publish_result change_publisher::publish_objects(const site::site_objects& base,
                                                        site::generation number,
                                                        site::site_objects proposed) {
+    const auto in_use = newest_generation_in_use(m_system.http(), m_object_store);
+    if (in_use > number) {
+        m_console.err << "oriolectl: the instances use generation " << in_use
+                      << ", but the newest at the platform is " << number
+                      << "; the changes of the generations after it are lost and have to be made "
+                         "again\n";
+    }
     const site::proposed_change change{
-        m_operation_id,         number, base, std::move(proposed), m_args.value("author"), m_time,
-        m_args.value("comment")};
+        m_operation_id,          number, base, std::move(proposed), m_args.value("author"), m_time,
+        m_args.value("comment"), in_use};
     return m_store->publish(change, policy());
 }
 
--- a/src/ctl/internal/instance_status.h
+++ b/src/ctl/internal/instance_status.h
@@ -25,4 +25,9 @@
 [[nodiscard]] std::vector<instance_status> read_instance_status(http_client& http,
                                                                 http_object_store& platform);
 
+/// The newest generation that an instance uses, according to a few live instances of each zone; 0
+/// if none of these answers. Throws store_unreachable when the platform does not return the list.
+[[nodiscard]] site::generation newest_generation_in_use(http_client& http,
+                                                        http_object_store& platform);
+
 } // namespace oriole::ctl
--- a/src/site/internal/site_codec.cpp
+++ b/src/site/internal/site_codec.cpp
@@ -151,6 +151,17 @@
     return found->get<generation>();
 }
 
+/// Heads of earlier versions of the program do not name the generation that they replaced; it is
+/// the one before.
+generation decode_previous(const json& head) {
+    const auto found = head.find("previous");
+    if (found != head.end() && found->is_number_unsigned()) {
+        return found->get<generation>();
+    }
+    const generation number = decode_generation(head);
+    return number == 0 ? 0 : number - 1;
+}
+
 bucket_digests decode_buckets(const json& head) {
     const auto found = head.find("buckets");
     if (found == head.end() || !found->is_array() || found->size() != bucket_count) {
@@ -267,9 +278,13 @@
 }
 
 std::string encode_head(const site_head& head) {
-    const json value{{"generation", head.number()}, {"operation", head.operation_id()},
-                     {"buckets", head.buckets()},   {"digest", head.digest()},
-                     {"author", head.author()},     {"time", head.time()},
+    const json value{{"generation", head.number()},
+                     {"previous", head.previous()},
+                     {"operation", head.operation_id()},
+                     {"buckets", head.buckets()},
+                     {"digest", head.digest()},
+                     {"author", head.author()},
+                     {"time", head.time()},
                      {"comment", head.comment()}};
     // Author and comment come from operators and may contain invalid UTF-8.
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -282,6 +297,7 @@
     }
     auto head = site_head::builder{}
                     .number(decode_generation(value))
+                    .previous(decode_previous(value))
                     .operation_id(string_field(value, "operation"))
                     .buckets(decode_buckets(value))
                     .digest(string_field(value, "digest"))
--- a/src/site/internal/versioned_site_store.cpp
+++ b/src/site/internal/versioned_site_store.cpp
@@ -103,11 +103,10 @@
 std::optional<publish_result> versioned_site_store::find_published(const std::string& operation_id,
                                                                    generation from) {
     const auto newest = read_head();
-    for (generation number = newest.head.number(); number > from; --number) {
-        const auto found =
-            number == newest.head.number() ? std::optional(newest.head) : head_at(number);
-        if (found && found->operation_id() == operation_id) {
-            return publish_result{head_at(number - 1).value_or(empty_head()), *found};
+    for (auto found = std::optional(newest.head); found && found->number() > from;
+         found = head_at(found->previous())) {
+        if (found->operation_id() == operation_id) {
+            return publish_result{head_at(found->previous()).value_or(empty_head()), *found};
         }
     }
     return std::nullopt;
@@ -125,7 +124,8 @@
         return publish_result{current.head, current.head};
     }
     const auto next = site_head::builder{}
-                          .number(current.head.number() + 1)
+                          .number(std::max(current.head.number(), change.newest_in_use) + 1)
+                          .previous(current.head.number())
                           .operation_id(change.operation_id)
                           .buckets(digests)
                           .digest(digest_of(digests))
--- a/src/site/tests/site_store_test.cpp
+++ b/src/site/tests/site_store_test.cpp
@@ -109,6 +109,19 @@
     EXPECT_EQ(burst("small"), 102);
 }
 
+// Guards against publishing a change a second time, because the search for its operation ends where
+// generation numbers were skipped.
+TEST_F(site_store_test, change_is_found_in_history_before_skipped_generations) {
+    const auto change = burst_change("ours", "small", 101, 1, m_first);
+    const auto accepted = m_other->publish(change, majority_loss_policy::refuse);
+    auto later = burst_change("theirs", "small", 102, 2, m_other->load(accepted.after));
+    later.newest_in_use = 6;
+    const auto skipped = m_other->publish(later, majority_loss_policy::refuse);
+    EXPECT_EQ(skipped.after.number(), 7U);
+    EXPECT_EQ(skipped.after.previous(), 2U);
+    EXPECT_EQ(m_store->publish(change, majority_loss_policy::refuse), accepted);
+}
+
 // Guards against an edit of an outdated configuration that overwrites another operator's edit of
 // the same object.
 TEST_F(site_store_test, outdated_edit_of_same_object_is_rejected_by_name) {
--- a/src/site/types/proposed_change.h
+++ b/src/site/types/proposed_change.h
@@ -16,6 +16,9 @@
     std::string author;
     std::string time; ///< UTC; informational only
     std::string comment;
+    /// Newest generation that an instance is known to use. A platform that was restored from an
+    /// older copy may have lost it; the change gets a higher number.
+    generation newest_in_use = 0;
 
     friend bool operator==(const proposed_change&, const proposed_change&) = default;
 };
--- a/src/site/types/site_head.h
+++ b/src/site/types/site_head.h
@@ -26,6 +26,10 @@
 
     [[nodiscard]] generation number() const noexcept { return m_number; }
 
+    /// The generation that this one replaced; lower than `number()` by more than one when the
+    /// platform had lost generations that were in use.
+    [[nodiscard]] generation previous() const noexcept { return m_previous; }
+
     /// The operation that published this generation. After a lost reply, tells whether the change
     /// took effect.
     [[nodiscard]] const std::string& operation_id() const noexcept { return m_operation_id; }
@@ -49,6 +53,7 @@
     site_head() = default;
 
     generation m_number = 0;
+    generation m_previous = 0;
     std::string m_operation_id;
     bucket_digests m_buckets;
     std::string m_digest;
@@ -70,6 +75,11 @@
         return *this;
     }
 
+    builder& previous(generation value) {
+        m_value.m_previous = value;
+        return *this;
+    }
+
     builder& operation_id(std::string value) {
         m_value.m_operation_id = std::move(value);
         return *this;
--- a/tools/oriole_site/http.py
+++ b/tools/oriole_site/http.py
@@ -94,6 +94,26 @@
         connection.close()
 
 
+def fetch_text(port, path):
+    connection = http.client.HTTPConnection(LOOPBACK, port, timeout=2.0)
+    try:
+        connection.request("GET", path)
+        return connection.getresponse().read().decode()
+    finally:
+        connection.close()
+
+
+def put_text(port, path, text, headers):
+    connection = http.client.HTTPConnection(LOOPBACK, port, timeout=5.0)
+    try:
+        connection.request("PUT", path, text, headers)
+        response = connection.getresponse()
+        response.read()
+        return response.status
+    finally:
+        connection.close()
+
+
 def fetch_status(port, path):
     connection = http.client.HTTPConnection(LOOPBACK, port, timeout=2.0)
     try:
--- a/tools/oriole_site/site.py
+++ b/tools/oriole_site/site.py
@@ -4,7 +4,7 @@
 import os
 import subprocess
 
-from .http import fetch_json, fetch_status, put_json
+from .http import fetch_json, fetch_status, fetch_text, put_json, put_text
 from .processes import Process, address, free_port, wait_until
 
 CONFIGURATION_TIMEOUT_S = 20.0
@@ -115,6 +115,22 @@
         )
         self.platform.wait_for_port(self.platform_port)
 
+    def copy_of_platform(self):
+        """The objects that the platform stores, by path."""
+        listed = fetch_json(self.platform_port, "/v1/objects?prefix=")
+        return {item["path"]: fetch_text(self.platform_port, f"/v1/objects/{item['path']}")
+                for item in listed}
+
+    def restore_platform(self, older_copy):
+        """Replaces the platform by one that holds the copy only."""
+        self.platform.kill()
+        self.start_platform()
+        for path, text in older_copy.items():
+            headers = {"If-Match": "0", "Oriole-Operation": "restore"}
+            status = put_text(self.platform_port, f"/v1/objects/{path}", text, headers)
+            if status != 200:
+                raise RuntimeError(f"cannot restore {path}: status {status}")
+
     def start_server(self, database, server, extra):
         command = [
             "oriole-backend",
