--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -85,6 +85,10 @@
     async def publish(self):
         """Writes a new configuration version with the current API keys and rates to the store."""
         self.version += 1
+        await self.publish_again()
+
+    async def publish_again(self):
+        """Writes the current configuration version, which a restored store may have lost."""
         routes = [{"name": name, "host": name, "path_prefix": "/", "kind": kind,
                    "timeout_ms": 1000, "latency_target_ms": 800, "priority": 1,
                    "service": SERVICE, "max_attempts": 2, "max_staleness_ms": max_staleness_ms,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,22 +1,30 @@
 """Faults that the soak injects into processes, network links and stand-ins. Each has a start and
 an end."""
 
+import asyncio
 import signal
 import threading
 import time
 
 from site_under_soak import STOP_GRACE_S
 
+# Share of restores of the store among the faults, where they are wanted.
+RESTORE_SHARE = 0.25
+# The longest time until the operator and the servers write again what a restored store has lost.
+MAX_REWRITE_DELAY_S = 1.0
+
 
 class Faults:
     """Starts faults chosen by a seeded generator. Each do_ method starts one fault and returns the
     function that ends it, or None when it cannot start."""
 
-    def __init__(self, site, random):
+    def __init__(self, site, random, with_restores=False):
         self.site = site
         self.random = random
+        self.with_restores = with_restores
         self.kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("do_")]
         self.reserved = set()  # targets of active faults; two faults never have the same target
+        self.evacuated = set()  # zones that the operator has taken out
         self.lock = threading.Lock()
 
     def reserve(self, candidates):
@@ -30,7 +38,9 @@
     def start_random(self):
         """Starts a fault of a random kind; returns its name and the function that ends it. Returns
         None when that kind has no free target."""
-        kind = self.random.choice(self.kinds)
+        # Without restores, a seed gives the same faults as before there were any.
+        restores = self.with_restores and self.random.random() < RESTORE_SHARE
+        kind = self.restore_store if restores else self.random.choice(self.kinds)
         end = kind()
         return (kind.__name__.removeprefix("do_"), end) if end is not None else None
 
@@ -197,6 +207,36 @@
         self.site.platform.call(self.site.platform.store.forget_history)
         return lambda: None
 
+    def restore_store(self):
+        store = self.reserve([self.site.platform.store])
+        if store is None:
+            return None
+        older_copy = self.site.platform.call(store.take_copy)
+        delay = self.random.uniform(0.0, MAX_REWRITE_DELAY_S)
+
+        def end():
+            self.site.platform.call(self.restore, older_copy, delay)
+            self.release(store)
+
+        return end
+
+    async def restore(self, older_copy, delay):
+        await self.site.platform.store.restore(older_copy)
+        await asyncio.sleep(delay)
+        await self.write_again()
+
+    async def write_again(self):
+        platform = self.site.platform
+        await platform.publish_again()
+        listed = set(platform.store.objects.get("evacuations", {}))
+        for zone in listed ^ self.evacuated:
+            await platform.store.put("evacuations", zone, {} if zone in self.evacuated else None)
+        for server in platform.database.servers.values():
+            if server.listener.is_serving():
+                await platform.register(server)
+            else:
+                await platform.store.put("servers", server.id, None)
+
     def do_configuration_change(self):
         self.site.platform.call(self.site.platform.publish)
         return lambda: None
@@ -216,11 +256,13 @@
             self.release(zone)
             return None
         put = self.site.platform.store.put
+        self.evacuated.add(zone)
         self.site.platform.call(put, "evacuations", zone, {})
         accepted = time.monotonic()
 
         def end():
             self.site.history.evacuations.append((accepted, time.monotonic(), zone))
+            self.evacuated.discard(zone)
             self.site.platform.call(put, "evacuations", zone, None)
             self.release(zone)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,14 +28,14 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, build):
+    def __init__(self, seed, seconds, build, with_restores=False):
         self.seed = seed
         self.seconds = seconds
         self.work_dir = tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-")
         self.history = History()
         self.site = Site(self.history, self.work_dir, build)
         self.random = random.Random(seed)
-        self.faults = Faults(self.site, self.random)
+        self.faults = Faults(self.site, self.random, with_restores)
         self.callers = [Caller(self.site, number, CALLERS, seed) for number in range(CALLERS)]
         self.active_faults = []  # (time to end it, name, function that ends it)
         self.fault_log = []  # start and end of each fault, for faults.log
@@ -123,6 +123,8 @@
     parser.add_argument("--fresh", type=int, default=0, help="number of further, random seeds")
     parser.add_argument("--seconds", type=float, default=20.0,
                         help="duration of the fault injection for each seed")
+    parser.add_argument("--store-restores", action="store_true",
+                        help="also restore the store from older copies")
     parser.add_argument("--build", default=os.environ.get("ORIOLE_BUILD",
                                                           os.path.join(ROOT, "build")))
     options = parser.parse_args()
@@ -130,7 +132,7 @@
                                     for _ in range(options.fresh)]
     failed = []
     for seed in seeds:
-        soak = Soak(seed, options.seconds, options.build)
+        soak = Soak(seed, options.seconds, options.build, options.store_restores)
         findings = soak.run()
         print(f"seed {seed}: {len(findings)} findings; {soak.summary()}", flush=True)
         if not findings:
