Write lost orders of ended instances again where primaries are leased

Change: every gateway of a service writes the newest order that it knows again, after a random pause and unless the store has it. It keeps the fencing token, so it does not count as newer.

--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -170,6 +170,16 @@
     return found == orders.end() ? reported_order() : found->second;
 }
 
+std::map<service_name, fleet::promotion_order> fleet_state::orders_of_leases() const {
+    std::map<service_name, fleet::promotion_order> orders;
+    for (const auto& [service, order] : m_leases.known_orders()) {
+        if (fleet::contains_instance(lease_holders(service), m_own.id)) {
+            orders[service] = {service, {}, order.target, order.fence, {}};
+        }
+    }
+    return orders;
+}
+
 std::vector<fleet::registered_instance>
 fleet_state::lease_holders(const service_name& service) const {
     const auto found = m_roles->lease_holders.find(service);
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -135,6 +135,10 @@
     /// known.
     [[nodiscard]] reported_order known_order(const service_name& service) const;
 
+    /// Where leases are needed: the newest known orders of the services on whose primary this
+    /// instance may hold a lease. Their holders are not known.
+    [[nodiscard]] std::map<service_name, fleet::promotion_order> orders_of_leases() const;
+
     /// The instances that may hold a lease on the service's primary, perhaps including this one.
     [[nodiscard]] std::vector<fleet::registered_instance>
     lease_holders(const service_name& service) const;
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/internal/primary_changer.h"
 
+#include "base/random_source.h"
 #include "entry/internal/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,6 +32,11 @@
 constexpr clock::duration lease_pause = 1s;
 /// Pause after a failed attempt, because each call to the store and the platform is charged.
 constexpr clock::duration failure_pause = 300ms;
+/// Pause before an instance writes a lost order of another instance again: the minimum, and the
+/// random part by which the instances take turns.
+constexpr clock::duration min_turn_pause = 200ms;
+constexpr clock::duration max_turn_pause = 800ms;
+constexpr std::int64_t random_steps = 1000;
 
 } // namespace
 
@@ -216,8 +222,8 @@
 
 asio::awaitable<fleet::promotion_order> primary_changer::current_order(service_name service) {
     try {
-        auto stored = co_await m_store.promotion_order_of(service);
-        co_return newest_known(std::move(stored));
+        const auto stored = co_await m_store.promotion_order_of(service);
+        co_return newest_known(stored);
     } catch (const store_unavailable&) {
         const auto known = m_last_orders.find(service);
         if (m_fleet.leases_needed() || known == m_last_orders.end() ||
@@ -230,11 +236,10 @@
     }
 }
 
-fleet::promotion_order primary_changer::newest_known(fleet::promotion_order stored) {
-    const auto revision = stored.revision;
-    auto& last = m_last_orders[stored.service];
-    if (stored.fence >= last.fence) {
-        last = std::move(stored);
+fleet::promotion_order primary_changer::newest_known(const fleet::promotion_order& stored) {
+    auto& last = m_last_orders.try_emplace(stored.service, stored).first->second;
+    if (stored.fence > last.fence) {
+        last = stored;
     }
     auto newest = last;
     const auto reported = m_fleet.known_order(newest.service);
@@ -243,20 +248,29 @@
         newest.target = reported.target;
         newest.fence = reported.fence;
     }
-    newest.revision = revision;
+    newest.revision = stored.revision;
     return newest;
 }
 
 void primary_changer::restore_lost_orders() {
+    auto orders = m_fleet.orders_of_leases();
     for (const auto& [service, order] : m_last_orders) {
-        if (order.holder == m_fleet.own()) {
-            asio::co_spawn(m_executor, restore_order(order), asio::detached);
+        if (order.holder == m_fleet.own() && order.fence >= orders[service].fence) {
+            orders[service] = order;
         }
     }
+    for (const auto& [service, order] : orders) {
+        asio::co_spawn(m_executor, restore_order(order), asio::detached);
+    }
 }
 
 asio::awaitable<void> primary_changer::restore_order(fleet::promotion_order order) {
-    while (m_last_orders[order.service].fence == order.fence) {
+    if (order.holder != m_fleet.own()) {
+        // Leaves the first attempt to the instance that wrote the order.
+        const auto random = make_random_source()->next() % random_steps;
+        co_await pause(m_executor, min_turn_pause + max_turn_pause * random / random_steps);
+    }
+    while (!superseded(order)) {
         std::string outcome;
         bool has_answer = true;
         try {
@@ -277,6 +291,12 @@
     }
 }
 
+bool primary_changer::superseded(const fleet::promotion_order& order) const {
+    const auto last = m_last_orders.find(order.service);
+    const bool newer_written = last != m_last_orders.end() && last->second.fence > order.fence;
+    return newer_written || m_fleet.known_order(order.service).fence > order.fence;
+}
+
 asio::awaitable<std::string> primary_changer::write_if_lost(fleet::promotion_order order) {
     const auto stored = co_await m_store.promotion_order_of(order.service);
     if (stored.fence >= order.fence) {
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -19,7 +19,7 @@
 
 namespace oriole::entry {
 
-/// Changes the primary of a service: stores a promotion order, whose revision is the fencing token,
+/// Changes the primary of a service: stores a promotion order, which contains the fencing token,
 /// and asks the platform to promote the server with the longest log. Not thread-safe; runs on the
 /// control thread.
 class primary_changer {
@@ -32,8 +32,9 @@
     /// Starts the changes of primary that are due and not yet in progress.
     void start_due_changes(clock::time_point now);
 
-    /// Writes this instance's last orders again where a restored store lacks them. An instance that
-    /// starts later learns the orders from the store.
+    /// Writes promotion orders again where a restored store lacks them: those of this instance, and
+    /// where leases are needed also those that it knows from others, as their holder may have
+    /// ended. An instance that starts later learns the orders from the store.
     void restore_lost_orders();
 
 private:
@@ -61,7 +62,9 @@
     /// The newest known order of the service, with the revision of the object that the store holds.
     [[nodiscard]] boost::asio::awaitable<fleet::promotion_order>
     current_order(service_name service);
-    [[nodiscard]] fleet::promotion_order newest_known(fleet::promotion_order stored);
+    [[nodiscard]] fleet::promotion_order newest_known(const fleet::promotion_order& stored);
+    /// Whether this instance knows a newer order than the given one.
+    [[nodiscard]] bool superseded(const fleet::promotion_order& order) const;
     /// Writes the order again, unless the store has it or a newer one. Tries until the store
     /// answers or this instance knows a newer order.
     [[nodiscard]] boost::asio::awaitable<void> restore_order(fleet::promotion_order order);
--- a/tests/process/restored_store_test.py
+++ b/tests/process/restored_store_test.py
@@ -38,6 +38,10 @@
     def restore(self, older_copy):
         self.platform.call(self.platform.store.restore, older_copy)
 
+    def stored_fence(self):
+        orders = self.platform.store.objects.get("oriole-promotions", {}).values()
+        return next((order["spec"].get("fence") for order in orders), None)
+
     def accepts(self, key, index=0):
         return self.session(key=key, index=index).greeting.startswith("READY")
 
@@ -201,9 +205,24 @@
         self.restore(older)
         self.wait(lambda: self.stored_fence() == fence, "the order in the restored store")
 
-    def stored_fence(self):
-        orders = self.platform.store.objects.get("oriole-promotions", {}).values()
-        return next((order["spec"].get("fence") for order in orders), None)
+
+class UnfencedPromotionTest(RestoredStoreTest):
+    fenced = False
+    instance_zones = ("zone-a", "zone-b", "zone-c")
+
+    # Guards against an instance that confirms the lease on a replaced primary, because it starts
+    # after the restore and the instance that wrote the lost order has ended.
+    def test_lost_order_of_an_ended_instance_is_written_again(self):
+        session = self.session()
+        older = self.take_copy()
+        self.platform.call(self.server("i-0").crash)
+        self.run_until_done(session, "WRITE a one")
+        fence = self.platform.fences[-1]
+        order = next(iter(self.platform.store.objects["oriole-promotions"].values()))
+        holder = int(order["spec"]["holder"].removeprefix("instance-"))
+        self.instances[holder].process.kill()
+        self.restore(older)
+        self.wait(lambda: self.stored_fence() == fence, "the order in the restored store")
 
 
 class RegistrationTest(RestoredStoreTest):
