--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -3,6 +3,7 @@
 #include "entry/internal/control_thread.h"
 
 #include "base/random_source.h"
+#include "entry/internal/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,7 +24,6 @@
 /// After a restore of the store, the instances register again within this time for each of them, so
 /// that a large fleet stays below the store's limit of calls.
 constexpr clock::duration reregistration_time_per_instance = 5ms;
-constexpr std::int64_t random_steps = 1000;
 /// Interval at which the instance checks whether it has to read the promotion orders.
 constexpr clock::duration orders_check_interval = 100ms;
 /// Minimum time between two requests for the list of instances, which limits the load on the store
@@ -70,7 +70,8 @@
       m_peers(m_io.get_executor(), m_fleet, settings.peers, log,
               [this] { return publish_and_wait(); }),
       m_leases(m_io.get_executor(), m_fleet, m_peers, log),
-      m_changer(m_io.get_executor(), m_fleet, *m_store, *m_authority, platform.connector(),
+      m_orders(m_io.get_executor(), m_fleet, *m_store, log),
+      m_changer(m_io.get_executor(), m_fleet, m_orders, *m_authority, platform.connector(),
                 m_leases, log, metrics,
                 [this] {
                     // The other electors, which decide with this instance on primary changes, need
@@ -168,9 +169,8 @@
     co_await m_renewal_timer.async_wait(asio::redirect_error(asio::use_awaitable, ended_early));
     if (ended_early) {
         // All instances register again after a restore. The random pause spreads their calls.
-        const auto spread = reregistration_time_per_instance *
-                            static_cast<std::int64_t>(m_fleet.peers().size() + 1);
-        co_await pause(spread * (make_random_source()->next() % random_steps) / random_steps);
+        const auto instances = static_cast<int>(m_fleet.peers().size()) + 1;
+        co_await pause(random_part_of(reregistration_time_per_instance * instances));
     }
 }
 
@@ -180,7 +180,7 @@
     // A watch of the earlier era may wait for a revision that the store reaches only much later.
     m_store->cancel_waits();
     m_renewal_timer.cancel();
-    m_changer.restore_lost_orders();
+    m_orders.restore_lost();
 }
 
 asio::awaitable<bool> control_thread::register_once() {
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -6,6 +6,7 @@
 #include "entry/internal/fleet_state.h"
 #include "entry/internal/peer_exchange.h"
 #include "entry/internal/primary_changer.h"
+#include "entry/internal/promotion_orders.h"
 #include "entry/internal/store_follower.h"
 #include "entry/internal/traffic_thread.h"
 #include "links/admin_server.h"
@@ -76,6 +77,7 @@
     traffic_thread m_traffic;
     peer_exchange m_peers;
     lease_revoker m_leases;
+    promotion_orders m_orders;
     primary_changer m_changer;
     std::shared_ptr<links::admin_server> m_admin;
     fleet::fleet_view m_published;
--- a/src/entry/internal/pause.h
+++ b/src/entry/internal/pause.h
@@ -20,4 +20,7 @@
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
 
+/// A random duration from 0 up to `limit`, to spread calls of many instances. Thread-safe.
+[[nodiscard]] clock::duration random_part_of(clock::duration limit);
+
 } // namespace oriole::entry
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -2,7 +2,6 @@
 
 #include "entry/internal/primary_changer.h"
 
-#include "base/random_source.h"
 #include "entry/internal/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,22 +31,17 @@
 constexpr clock::duration lease_pause = 1s;
 /// Pause after a failed attempt, because each call to the store and the platform is charged.
 constexpr clock::duration failure_pause = 300ms;
-/// Pause before an instance writes a lost order of another instance again: the minimum, and the
-/// random part by which the instances take turns.
-constexpr clock::duration min_turn_pause = 200ms;
-constexpr clock::duration max_turn_pause = 800ms;
-constexpr std::int64_t random_steps = 1000;
 
 } // namespace
 
 primary_changer::primary_changer(asio::any_io_executor executor, fleet_state& fleet,
-                                 fleet_store& store, promotion_authority& authority,
+                                 promotion_orders& orders, promotion_authority& authority,
                                  server_connector& connector, lease_revoker& leases,
                                  decision_log& log, metric_registry& metrics,
                                  std::function<void()> on_change)
     : m_executor(std::move(executor)),
       m_fleet(fleet),
-      m_store(store),
+      m_orders(orders),
       m_authority(authority),
       m_connector(connector),
       m_leases(leases),
@@ -85,9 +79,8 @@
                                                       fleet::primary_change change) {
     std::erase_if(change.candidates,
                   [this](const auto& server) { return m_refused_until.contains(server); });
-    const auto known = m_last_orders.find(service);
-    const auto seen_fence = known == m_last_orders.end() ? 0 : known->second.fence;
-    auto order = co_await current_order(service);
+    const auto seen_fence = m_orders.last_fence(service);
+    auto order = co_await m_orders.newest(service);
     auto& monitor = m_fleet.primary_monitor_of(service);
     if (order.fence > seen_fence && !order.target.empty() && order.target != change.from &&
         order.holder != m_fleet.own() && m_fleet.find_server(order.target)) {
@@ -126,7 +119,7 @@
     order.holder = m_fleet.own();
     order.target = *target;
     order.fence = 0;
-    const auto store_entry = co_await store_order(order);
+    const auto store_entry = co_await m_orders.write(order);
     if (!store_entry) {
         log_outcome(service, "another_instance_acts");
         co_return;
@@ -220,112 +213,6 @@
     }
 }
 
-asio::awaitable<fleet::promotion_order> primary_changer::current_order(service_name service) {
-    try {
-        const auto stored = co_await m_store.promotion_order_of(service);
-        co_return newest_known(stored);
-    } catch (const store_unavailable&) {
-        const auto known = m_last_orders.find(service);
-        if (m_fleet.leases_needed() || known == m_last_orders.end() ||
-            known->second.holder != m_fleet.own()) {
-            throw;
-        }
-        // This instance issued the last known order, so it may reuse that order's fencing token.
-        // The platform refuses the promotion if there is a newer order.
-        co_return known->second;
-    }
-}
-
-fleet::promotion_order primary_changer::newest_known(const fleet::promotion_order& stored) {
-    auto& last = m_last_orders.try_emplace(stored.service, stored).first->second;
-    if (stored.fence > last.fence) {
-        last = stored;
-    }
-    auto newest = last;
-    const auto reported = m_fleet.known_order(newest.service);
-    if (reported.fence > newest.fence) {
-        newest.holder = {};
-        newest.target = reported.target;
-        newest.fence = reported.fence;
-    }
-    newest.revision = stored.revision;
-    return newest;
-}
-
-void primary_changer::restore_lost_orders() {
-    auto orders = m_fleet.orders_of_leases();
-    for (const auto& [service, order] : m_last_orders) {
-        if (order.holder == m_fleet.own() && order.fence >= orders[service].fence) {
-            orders[service] = order;
-        }
-    }
-    for (const auto& [service, order] : orders) {
-        asio::co_spawn(m_executor, restore_order(order), asio::detached);
-    }
-}
-
-asio::awaitable<void> primary_changer::restore_order(fleet::promotion_order order) {
-    if (order.holder != m_fleet.own()) {
-        // Leaves the first attempt to the instance that wrote the order.
-        const auto random = make_random_source()->next() % random_steps;
-        co_await pause(m_executor, min_turn_pause + max_turn_pause * random / random_steps);
-    }
-    while (!superseded(order)) {
-        std::string outcome;
-        bool has_answer = true;
-        try {
-            outcome = co_await write_if_lost(order);
-        } catch (const store_unavailable& failure) {
-            outcome = failure.what();
-            has_answer = false;
-        }
-        m_log.write(log_entry("promotion_order")
-                        .add("service", order.service.str())
-                        .add("target", order.target.str())
-                        .add("fence", order.fence)
-                        .add("outcome", outcome));
-        if (has_answer) {
-            co_return;
-        }
-        co_await pause(m_executor, failure_pause);
-    }
-}
-
-bool primary_changer::superseded(const fleet::promotion_order& order) const {
-    const auto last = m_last_orders.find(order.service);
-    const bool newer_written = last != m_last_orders.end() && last->second.fence > order.fence;
-    return newer_written || m_fleet.known_order(order.service).fence > order.fence;
-}
-
-asio::awaitable<std::string> primary_changer::write_if_lost(fleet::promotion_order order) {
-    const auto stored = co_await m_store.promotion_order_of(order.service);
-    if (stored.fence >= order.fence) {
-        co_return "present";
-    }
-    order.revision = stored.revision;
-    const auto written = co_await m_store.record_promotion(std::move(order));
-    co_return written ? "written_again" : "replaced";
-}
-
-asio::awaitable<std::optional<fleet::promotion_order>>
-primary_changer::store_order(fleet::promotion_order order) {
-    try {
-        auto store_entry = co_await m_store.record_promotion(order);
-        if (store_entry) {
-            m_last_orders[order.service] = *store_entry;
-        }
-        co_return store_entry;
-    } catch (const store_unavailable&) {
-        const auto known = m_last_orders.find(order.service);
-        if (m_fleet.leases_needed() || known == m_last_orders.end() ||
-            known->second.holder != m_fleet.own() || known->second.fence == 0) {
-            throw;
-        }
-        order.fence = known->second.fence;
-        co_return order;
-    }
-}
-
 asio::awaitable<std::optional<sessions::server_status>>
 primary_changer::query_server(server_name server, server_command command) {
     const auto listed = m_fleet.find_server(server);
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -4,9 +4,9 @@
 
 #include "base/decision_log.h"
 #include "base/metric_registry.h"
-#include "entry/fleet_store.h"
 #include "entry/internal/fleet_state.h"
 #include "entry/internal/lease_revoker.h"
+#include "entry/internal/promotion_orders.h"
 #include "entry/server_channel.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -24,19 +24,14 @@
 /// control thread.
 class primary_changer {
 public:
-    primary_changer(boost::asio::any_io_executor executor, fleet_state& fleet, fleet_store& store,
-                    promotion_authority& authority, server_connector& connector,
-                    lease_revoker& leases, decision_log& log, metric_registry& metrics,
-                    std::function<void()> on_change);
+    primary_changer(boost::asio::any_io_executor executor, fleet_state& fleet,
+                    promotion_orders& orders, promotion_authority& authority,
+                    server_connector& connector, lease_revoker& leases, decision_log& log,
+                    metric_registry& metrics, std::function<void()> on_change);
 
     /// Starts the changes of primary that are due and not yet in progress.
     void start_due_changes(clock::time_point now);
 
-    /// Writes promotion orders again where a restored store lacks them: those of this instance, and
-    /// where leases are needed also those that it knows from others, as their holder may have
-    /// ended. An instance that starts later learns the orders from the store.
-    void restore_lost_orders();
-
 private:
     struct candidate_status {
         server_name server;
@@ -59,19 +54,6 @@
     /// newer order exists meanwhile.
     [[nodiscard]] boost::asio::awaitable<std::optional<promotion_result>>
     send_promotion(fleet::promotion_order order);
-    /// The newest known order of the service, with the revision of the object that the store holds.
-    [[nodiscard]] boost::asio::awaitable<fleet::promotion_order>
-    current_order(service_name service);
-    [[nodiscard]] fleet::promotion_order newest_known(const fleet::promotion_order& stored);
-    /// Whether this instance knows a newer order than the given one.
-    [[nodiscard]] bool superseded(const fleet::promotion_order& order) const;
-    /// Writes the order again, unless the store has it or a newer one. Tries until the store
-    /// answers or this instance knows a newer order.
-    [[nodiscard]] boost::asio::awaitable<void> restore_order(fleet::promotion_order order);
-    /// Returns the outcome, for the log. Throws store_unavailable.
-    [[nodiscard]] boost::asio::awaitable<std::string> write_if_lost(fleet::promotion_order order);
-    [[nodiscard]] boost::asio::awaitable<std::optional<fleet::promotion_order>>
-    store_order(fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
     query_server(server_name server, sessions::server_command command);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
@@ -83,7 +65,7 @@
 
     boost::asio::any_io_executor m_executor;
     fleet_state& m_fleet;
-    fleet_store& m_store;
+    promotion_orders& m_orders;
     promotion_authority& m_authority;
     server_connector& m_connector;
     lease_revoker& m_leases;
@@ -91,8 +73,6 @@
     metric& m_promotions;
     std::function<void()> m_on_change;
     std::set<service_name> m_changes_in_progress;
-    /// Last known promotion order of each service.
-    std::map<service_name, fleet::promotion_order> m_last_orders;
     /// Time until which a server that the platform refused to promote is not considered again.
     std::map<server_name, clock::time_point> m_refused_until;
 };
