--- a/review/lib/database.py
+++ b/review/lib/database.py
@@ -29,6 +29,7 @@
         self.term = 1
         self.leader = None
         self.changed = asyncio.Condition()
+        self.promotions = []  # (time, server id, requests whose entries the server's log has)
 
     async def notify(self):
         async with self.changed:
@@ -50,6 +51,7 @@
         server.receiving = True
         server.log.append(Entry(self.term))
         server.received_at.append(0.0)
+        self.promotions.append((time.monotonic(), server.id, {entry.request for entry in server.log}))
         self.recorder.write(f"promoted server={server.id} term={self.term} log={kept} "
                             f"rolled_back={sorted({e.request for e in lost if e.request})}")
         await self.notify()
@@ -58,15 +60,17 @@
 class Server:
     """One backend server of the service."""
 
-    def __init__(self, database, server_id, zone, slots=3, queue=24, work_s=0.004,
-                 handshake_s=0.012, lag_s=0.008):
+    def __init__(self, database, server_id, zone, slots=3, queue=24, read_s=0.004,
+                 write_s=0.004, handshake_s=0.012, lag_s=0.008):
         self.database, self.id, self.zone = database, server_id, zone
         self.slot_count, self.queue_limit = slots, queue
-        self.work_s, self.handshake_s, self.lag_s = work_s, handshake_s, lag_s
+        self.handshake_s, self.lag_s = handshake_s, lag_s
+        self.work_s = {"READ": read_s, "WRITE": write_s, "COMMIT": write_s, "STATUS": 0.001}
         self.log = [Entry(1)]
         self.received_at = [0.0]
         self.receiving = True
         self.running = True
+        self.draining = False
         self.free_slots = asyncio.Semaphore(slots)
         self.waiting = 0
         self.beats = 0
@@ -222,9 +226,10 @@
             if prepared is None:
                 return self.fail("UNKNOWN")
             verb, words = prepared[0], [prepared[0]] + words[2:]
-        if verb in ("READ", "WRITE", "COMMIT", "STATUS"):
-            if not await server.take_slot(0.001 if verb == "STATUS" else server.work_s):
-                return self.fail("BUSY")
+        work_s = server.work_s.get(verb)
+        if work_s is not None and not await server.take_slot(work_s):
+            self.server.database.recorder.write(f"busy server={server.id} text={text!r}")
+            return self.fail("BUSY")
         return await getattr(self, "do_" + verb.lower())(request, words, text)
 
     def signed(self, request, row=None):
@@ -296,7 +301,9 @@
                 f"{len(server.connections)}\r\nCOMPLETE -\r\n")
 
     async def do_status(self, _request, _words, _text):
-        return self.status()
+        answer = self.status()
+        self.server.database.recorder.write(f"status server={self.server.id} answer={answer!r}")
+        return answer
 
     async def do_stepdown(self, _request, words, _text):
         if self.server.is_leader and int(words[1]) > self.server.database.term:
--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -96,7 +96,8 @@
         server.beats += 1
         await self.store.put("servers", server.id, {
             "service": SERVICE, "address": f"{LOOPBACK}:{server.port}", "zone": server.zone,
-            "version": "v1", "slots": server.slot_count, "state": "ready", "cold_remaining_ms": 0,
+            "version": "v1", "slots": server.slot_count,
+            "state": "draining" if server.draining else "ready", "cold_remaining_ms": 0,
             "db_role": "primary" if server.is_leader else "replica", "seq": server.beats,
             "born": 1})
 
