--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -51,6 +51,27 @@
                    f"text={text!r} outcome={outcome!r}")
 
 
+class StoreConnection:
+    """The writing side of a connection to the store. Once it is silent, nothing arrives any more,
+    and it is never closed."""
+
+    def __init__(self, writer):
+        self.writer = writer
+        self.silent = False
+
+    def write(self, data):
+        if not self.silent:
+            self.writer.write(data)
+
+    async def drain(self):
+        if not self.silent:
+            await self.writer.drain()
+
+    def close(self):
+        if not self.silent:
+            self.writer.close()
+
+
 class Platform:
     """The store, the promotion service and the servers, in one thread with an event loop."""
 
@@ -59,6 +80,8 @@
         self.sync_replicas = sync_replicas
         self.server_options = server_options
         self.fence = 0
+        self.version = 0
+        self.keys = {name: [key] for name, key in KEYS.items()}
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
@@ -74,8 +97,9 @@
     async def start(self, zones):
         self.store = Store()
         self.database = Database(SERVICE, self.recorder, self.sync_replicas)
-        self.store_port = await self.listen(
-            lambda reader, writer: serve_http(reader, writer, self.store.handle))
+        self.writers = []
+        self.store_connections = set()
+        self.store_port = await self.listen(self.serve_store)
         self.promotion_port = await self.listen(
             lambda reader, writer: serve_http(reader, writer, self.promote))
         self.tasks = []
@@ -89,7 +113,11 @@
         await self.publish()
 
     async def listen(self, handler):
-        listener = await asyncio.start_server(handler, LOOPBACK, 0)
+        async def serve(reader, writer):
+            self.writers.append(writer)
+            await handler(reader, writer)
+
+        listener = await asyncio.start_server(serve, LOOPBACK, 0)
         return listener.sockets[0].getsockname()[1]
 
     async def register(self, server):
@@ -101,17 +129,35 @@
             "db_role": "primary" if server.is_leader else "replica", "seq": server.beats,
             "born": 1})
 
+    async def serve_store(self, reader, writer):
+        """Serves a connection to the store until it goes silent."""
+        connection = StoreConnection(writer)
+        self.store_connections.add(connection)
+        try:
+            await serve_http(reader, connection, self.store.handle)
+        finally:
+            self.store_connections.discard(connection)
+
+    def silence_store_connections(self):
+        """Lets the open connections to the store go silent for good, without a reset. New ones
+        work. Returns their number."""
+        for connection in self.store_connections:
+            connection.silent = True
+        return len(self.store_connections)
+
     async def publish(self):
+        """Writes the next version of the configuration, with the current keys."""
+        self.version += 1
         kinds = (("newest", "primary", 0), ("bounded", "bounded_staleness", 1500),
                  ("own", "read_own_writes", 2500))
         await self.store.put("config", "main", {
-            "version": 1,
+            "version": self.version,
             "routes": [{"name": name, "host": name, "path_prefix": "/", "kind": kind,
                         "timeout_ms": 1000, "latency_target_ms": 400, "priority": 1,
                         "service": SERVICE, "max_attempts": 2, "max_staleness_ms": age,
                         "public": False} for name, kind, age in kinds],
-            "tenants": [{"name": name, "api_keys": [key], "priority": 1, "rate_per_s": 1000,
-                         "burst": 1000} for name, key in KEYS.items()],
+            "tenants": [{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": 1000,
+                         "burst": 1000} for name, keys in self.keys.items()],
             "services": [{"name": SERVICE, "max_conns": 33, "sync_replicas": self.sync_replicas}],
             "limits": {"tx_idle_ms": TX_IDLE_MS}})
 
@@ -141,6 +187,10 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            servers = self.database.servers.values()
+            for writer in self.writers + [w for server in servers for w in server.connections]:
+                writer.transport.abort()
+            await asyncio.sleep(0.1)
 
         self.call(cancel)
         self.loop.call_soon_threadsafe(self.loop.stop)
