Review scripts: one runner, and exit status 2 for every failure to run

An unexpected error of a script ended with status 1, which means a broken rule. review/lib/case.py runs the plays, writes the result and returns 2 for any such error. A process that outlives its grace time is killed, as the platform does.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -6,18 +6,18 @@
 two processes is killed once. Nothing else is disturbed."""
 
 import collections
+import functools
 import os
 import sys
-import tempfile
 import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
-from small_site import KEYS, Recorder, Session, Site
+from case import TROUBLE, run_case
+from small_site import KEYS, Session, Site
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 INSTANCE_ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c")
 PROCESSES_OF_ZONE_A = 2
 # Two groups of clients come one after the other.
@@ -142,29 +142,7 @@
         return broken_rules(recorder, attempts, log), sum(a.acknowledged for a in attempts)
 
 
-def main():
-    recorder = Recorder(os.path.join(HERE, "record.txt"))
-    broken, served = [], 0
-    try:
-        for victim in range(PROCESSES_OF_ZONE_A):
-            recorder.write(f"play with process {victim} of zone-a as the one that is killed")
-            with tempfile.TemporaryDirectory(prefix="oriole-review-", dir=os.environ.get("KEEP")) as work_dir:
-                found, acknowledged = play(recorder, work_dir, victim)
-                broken += found
-                served += acknowledged
-    except (OSError, TimeoutError) as failure:
-        recorder.write(f"could not run: {failure}")
-        print(f"could not run: {failure}")
-        return 2
-    if served == 0:
-        print("could not run: no transaction was committed")
-        return 2
-    for line in broken:
-        recorder.write(f"broken {line}")
-    recorder.write(f"result: {len(broken)} broken, {served} transactions acknowledged")
-    print("\n".join(broken[:20] + [f"{len(broken)} broken, {served} transactions acknowledged"]))
-    return 1 if broken else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    # Only the zone's gateway for the service holds transactions of the other process.
+    PLAYS = [functools.partial(play, victim=number) for number in range(PROCESSES_OF_ZONE_A)]
+    sys.exit(run_case(HERE, PLAYS))
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -6,16 +6,15 @@
 
 import os
 import sys
-import tempfile
 import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
-from small_site import KEYS, Recorder, Session, Site
+from case import TROUBLE, run_case
+from small_site import KEYS, Session, Site
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 INSTANCE_ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c")
 CLIENTS = 16
 STOP_AT_S = 2.0
@@ -66,8 +65,7 @@
         stopped_at = time.monotonic()
         if TROUBLE:
             recorder.write(f"SIGTERM {site.instances[0].name}")
-            site.instances[0].process.terminate()
-            site.instances[0].process.wait(timeout=GRACE_S)
+            site.instances[0].stop(GRACE_S)
             recorder.write(f"{site.instances[0].name} has ended")
         for client in clients:
             client.join(timeout=TRAFFIC_S + 15)
@@ -80,22 +78,5 @@
         return broken, sum(client.served for client in clients)
 
 
-def main():
-    recorder = Recorder(os.path.join(HERE, "record.txt"))
-    try:
-        with tempfile.TemporaryDirectory(prefix="oriole-review-") as work_dir:
-            broken, served = play(recorder, work_dir)
-    except (OSError, TimeoutError) as failure:
-        print(f"could not run: {failure}")
-        return 2
-    if served == 0:
-        print("could not run: no request was served")
-        return 2
-    for line in broken:
-        recorder.write(f"broken {line}")
-    print("\n".join(broken + [f"{len(broken)} broken, {served} requests served"]))
-    return 1 if broken else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, [play]))
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -4,16 +4,15 @@
 import asyncio
 import os
 import sys
-import tempfile
 import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
-from small_site import KEYS, Recorder, Session, Site
+from case import TROUBLE, run_case
+from small_site import KEYS, Session, Site
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 INSTANCE_ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c")
 READERS = 12
 WRITERS = 6
@@ -99,22 +98,5 @@
     servers["i-2"].receiving = True
 
 
-def main():
-    recorder = Recorder(os.path.join(HERE, "record.txt"))
-    try:
-        with tempfile.TemporaryDirectory(prefix="oriole-review-") as work_dir:
-            broken, served = play(recorder, work_dir)
-    except (OSError, TimeoutError) as failure:
-        print(f"could not run: {failure}")
-        return 2
-    if served == 0:
-        print("could not run: no write was acknowledged")
-        return 2
-    for line in broken:
-        recorder.write(f"broken {line}")
-    print("\n".join(broken + [f"{len(broken)} broken, {served} writes acknowledged"]))
-    return 1 if broken else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, [play]))
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -6,16 +6,15 @@
 
 import os
 import sys
-import tempfile
 import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 
-from small_site import KEYS, Recorder, Session, Site
+from case import TROUBLE, run_case
+from small_site import KEYS, Session, Site
 
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 INSTANCE_ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c")
 TENANT = "kita"
 SILENT_AT_S = 2.0
@@ -76,22 +75,5 @@
         return broken, sum(client.served for client in clients)
 
 
-def main():
-    recorder = Recorder(os.path.join(HERE, "record.txt"))
-    try:
-        with tempfile.TemporaryDirectory(prefix="oriole-review-") as work_dir:
-            broken, served = play(recorder, work_dir)
-    except (OSError, TimeoutError) as failure:
-        print(f"could not run: {failure}")
-        return 2
-    if served == 0:
-        print("could not run: no request was served")
-        return 2
-    for line in broken:
-        recorder.write(f"broken {line}")
-    print("\n".join(broken + [f"{len(broken)} broken, {served} requests served"]))
-    return 1 if broken else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, [play]))
--- a/review/lib/small_site.py
+++ b/review/lib/small_site.py
@@ -227,6 +227,14 @@
             self.process = subprocess.Popen(command, cwd=ROOT, stdout=out, stderr=out,
                                             env={**os.environ, "ORIOLETHREAD_BOOT": self.settings})
 
+    def stop(self, grace_s):
+        """Stops the process as the platform does: SIGTERM, and SIGKILL after the grace time."""
+        self.process.terminate()
+        try:
+            self.process.wait(timeout=grace_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
     def kill(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
