Add failing tests for silent connections and odd entries of the store

What callers saw: a withdrawn key, a draining server and an evacuated zone in use long after the change was acknowledged; the users' report of machines that stop following the list of servers.

The stand-in of the users' platform lets open connections go silent, also those between instances, which lead through relays, and sends JSON text that is not valid.

--- a/standins/users_platform/__init__.py
+++ b/standins/users_platform/__init__.py
@@ -5,6 +5,7 @@
 runs a function in that thread.
 """
 
+from .http import RawJson
 from .platform import Platform
 
-__all__ = ["Platform"]
+__all__ = ["Platform", "RawJson"]
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -6,6 +6,7 @@
 
 from .backend import Backend, Database
 from .http import serve_http
+from .links import LinkGroups, pass_on_to
 from .store import Store
 
 LOOPBACK = "127.0.0.1"
@@ -46,18 +47,21 @@
         self.loop.close()
 
     async def cancel_all(self):
+        self.links.abort()
         tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0)
 
     async def start(self):
         self.store = Store()
         self.database = Database(SERVICE, fenced=self.fenced)
+        self.links = LinkGroups()
         self.store_port = await self.listen(
-            lambda reader, writer: serve_http(reader, writer, self.store.handle))
+            "store", lambda reader, writer: serve_http(reader, writer, self.store.handle))
         self.promotion_port = await self.listen(
-            lambda reader, writer: serve_http(reader, writer, self.promote))
+            "promotions", lambda reader, writer: serve_http(reader, writer, self.promote))
         for number, zone in enumerate(self.zones):
             server = Backend(self.database, f"i-{number}", zone)
             await self.start_server(server)
@@ -66,12 +70,23 @@
             await self.register(server)
         await self.publish()
 
-    async def listen(self, handler, port=0):
-        listener = await asyncio.start_server(handler, LOOPBACK, port)
+    async def listen(self, group, handler):
+        """Listens on a free port, which it returns. `group` is the name of its links' group."""
+        listener = await asyncio.start_server(self.links.serve(group, handler), LOOPBACK, 0)
         return listener.sockets[0].getsockname()[1]
 
+    async def relay(self, port):
+        """Listens on a port whose connections, of the group "instances", lead to `port`."""
+        return await self.listen("instances", pass_on_to(LOOPBACK, port))
+
+    def silence(self, *groups):
+        """Lets the open connections of the groups go silent for good, while new ones work. Groups:
+        store, promotions, servers, instances."""
+        self.call(self.links.silence, *groups)
+
     async def start_server(self, server):
-        server.listener = await asyncio.start_server(server.serve, LOOPBACK, server.port)
+        serve = self.links.serve("servers", server.serve)
+        server.listener = await asyncio.start_server(serve, LOOPBACK, server.port)
         server.port = server.listener.sockets[0].getsockname()[1]
 
     async def register(self, server, state="ready"):
