Read each object of a reply of the store on its own

What callers saw: the report of other operators: one odd entry among those of the backends, and the machines that read the list stop following it.

Cause: a reply was parsed as one JSON document. A number out of range, bytes that are not UTF-8, half of a surrogate pair or a control character in any object made the whole list unreadable, in each attempt. A very deeply nested object was copied recursively, and conversions of numbers out of range are undefined. An order that could not be read blocked the change of primary for good. Class: one unreadable part is taken for the whole.

An order that cannot be read counts as one of an unknown holder, so it can be replaced. Objects without a readable name are counted in event=store_page.

--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -49,6 +49,7 @@
 struct store_page {
     std::vector<store_entry<Value>> objects;
     fleet::store_revision revision;
+    std::size_t unreadable = 0; ///< objects without a readable name or revision, not in `objects`
 
     friend bool operator==(const store_page&, const store_page&) = default;
 };
@@ -105,8 +106,8 @@
     /// Removes the entry of an instance, if it exists. Throws store_unavailable.
     [[nodiscard]] virtual boost::asio::awaitable<void> remove_instance(instance_id id) = 0;
 
-    /// Reads the last promotion order for the service; its fence is 0 when there is none. Throws
-    /// store_unavailable.
+    /// Reads the last promotion order for the service; its fence is 0 when there is none, and its
+    /// target is empty when the order cannot be read. Throws store_unavailable.
     [[nodiscard]] virtual boost::asio::awaitable<fleet::promotion_order>
     promotion_order_of(service_name service) = 0;
 
--- a/src/entry/internal/store_follower.h
+++ b/src/entry/internal/store_follower.h
@@ -96,7 +96,7 @@
             const auto page = co_await next_changes();
             set_reachable(true, "changed");
             m_revision = page.revision;
-            if (!page.objects.empty()) {
+            if (!page.objects.empty() || page.unreadable > 0) {
                 log_page(page, "changes");
                 m_on_page(page, false);
             }
@@ -122,7 +122,8 @@
                         .add("kind", m_name)
                         .add("source", source)
                         .add("revision", to_string(page.revision))
-                        .add("objects", page.objects.size()));
+                        .add("objects", page.objects.size())
+                        .add("unreadable", page.unreadable));
     }
 
     void set_reachable(bool reachable, const std::string& reason) {
