Close the idle connections that a silent one makes suspect

A call that timed out closed its own connection only; the next took another from the pool, as silent as the first.

A connection without an answer now closes those to the same instance or server that have been idle since before its call.

--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -162,7 +162,12 @@
 }
 
 void server_pool::mark_timed_out(const pooled_connection& connection, clock::time_point now) {
-    if (!connection.waiting || (m_last_answer && *m_last_answer >= *connection.waiting_since)) {
+    if (!connection.waiting) {
+        return;
+    }
+    // What silenced this connection may have silenced the others.
+    close_idle_since(*connection.waiting_since);
+    if (m_last_answer && *m_last_answer >= *connection.waiting_since) {
         return;
     }
     if (!m_failing_since || *connection.waiting_since < *m_failing_since) {
@@ -213,7 +218,11 @@
 }
 
 void server_pool::close_unused(clock::time_point now) {
-    while (!m_idle.empty() && now - m_idle.back()->idle_since > unused_connection_lifetime) {
+    close_idle_since(now - unused_connection_lifetime);
+}
+
+void server_pool::close_idle_since(clock::time_point time) {
+    while (!m_idle.empty() && m_idle.back()->idle_since < time) {
         auto connection = std::move(m_idle.back());
         m_idle.pop_back();
         close_connection(*connection);
@@ -221,11 +230,7 @@
 }
 
 void server_pool::close() {
-    while (!m_idle.empty()) {
-        auto connection = std::move(m_idle.back());
-        m_idle.pop_back();
-        close_connection(*connection);
-    }
+    close_idle_since(clock::time_point::max());
     m_limit = 0;
     for (const auto& waiter : m_waiters) {
         waiter->refused = true;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -79,8 +79,9 @@
     /// Records that the server has answered on the connection.
     void mark_answered(pooled_connection& connection, clock::time_point now);
 
-    /// Records that a statement ended without an answer on the connection. The server counts as
-    /// failing if it has not answered any other connection meanwhile.
+    /// Records that a statement ended without an answer on the connection. Closes the connections
+    /// that have been idle since before the statement. The server counts as failing if it has not
+    /// answered any other connection meanwhile.
     void mark_timed_out(const pooled_connection& connection, clock::time_point now);
 
     /// Records that the server could not be reached or its connection broke.
@@ -115,6 +116,8 @@
     [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
                                                           clock::time_point deadline);
     void close_connection(pooled_connection& connection);
+    /// Closes the idle connections that have not been used since `time`.
+    void close_idle_since(clock::time_point time);
     void serve_waiters();
 
     boost::asio::any_io_executor m_executor;
--- a/src/links/internal/tcp_peer_link.cpp
+++ b/src/links/internal/tcp_peer_link.cpp
@@ -71,6 +71,8 @@
     awaitable<std::string> exchange(peer_connection& connection, const std::string& request);
     connection_ptr take_idle(const endpoint& peer);
     void store_idle(const endpoint& peer, connection_ptr connection);
+    /// Closes the idle connections to the peer that have not been used since `time`.
+    void close_idle_since(const endpoint& peer, clock::time_point time);
 
     asio::any_io_executor m_executor;
     peer_key m_key;
@@ -86,7 +88,15 @@
         connection = co_await open(peer, deadline);
     }
     connection->stream.expires_at(deadline);
-    const std::string answer = co_await exchange(*connection, request);
+    const auto started = steady_clock().now();
+    std::string answer;
+    try {
+        answer = co_await exchange(*connection, request);
+    } catch (const link_error&) {
+        // What silenced or reset this connection may have done so with the others.
+        close_idle_since(peer, started);
+        throw;
+    }
     store_idle(peer, std::move(connection));
     try {
         co_return read_rpc_result(method, answer);
@@ -165,6 +175,11 @@
     }
 }
 
+void tcp_peer_link::close_idle_since(const endpoint& peer, clock::time_point time) {
+    m_idle.remove_if(
+        [&](const idle_connection& idle) { return idle.peer == peer && idle.since < time; });
+}
+
 } // namespace
 
 std::unique_ptr<peer_link> make_peer_link(asio::any_io_executor executor,
