Ask a primary that seems lost over a new connection before replacing it

What callers saw: a healthy primary was replaced, since the only statement of an instance waited on a silent connection (seen in the log of the test of draining servers: reason=lost 0.6 s after the first statement).

The primary gets 150 ms to answer STATUS on a new connection; one that says it leads is kept, event=primary_change outcome=primary_answers. Where primaries are leased, an order that cannot be read stops the change, since its target may still become primary.

--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -20,6 +20,9 @@
 /// Time limit for each step of a query to a server: connecting, sending and receiving. Replicas
 /// answer fast because they are idle when their primary is lost.
 constexpr clock::duration query_timeout = 300ms;
+/// The same for a primary that seems lost, whose change waits for the answer. A primary that
+/// answers later is too slow to be kept.
+constexpr clock::duration primary_query_timeout = 150ms;
 /// Number of status queries that wait for the target to receive the old primary's log, and the
 /// pause between them.
 constexpr int catch_up_attempts = 6;
@@ -92,6 +95,15 @@
         m_on_change();
         co_return;
     }
+    const bool unreadable = order.fence != 0 && order.target.empty();
+    if (unreadable) {
+        log_outcome(service, "last_order_unreadable");
+    }
+    if (unreadable && m_fleet.leases_needed()) {
+        // Its promotion may still take effect, at a server that is not known.
+        co_await pause(m_executor, failure_pause);
+        co_return;
+    }
     if (!m_fleet.may_promote(order, steady_clock().now())) {
         m_log.write(log_entry("primary_change")
                         .add("service", service.str())
@@ -109,6 +121,13 @@
             co_return;
         }
     }
+    if (change.reason == fleet::change_reason::lost && !change.from.empty() &&
+        co_await still_leads(change.from)) {
+        // Its open connections carry nothing any more, for example after a reset of the network.
+        log_outcome(service, "primary_answers");
+        co_await pause(m_executor, failure_pause);
+        co_return;
+    }
     const auto target = co_await choose_target(change, order);
     if (!target) {
         log_outcome(service, "no_candidate");
@@ -214,7 +233,8 @@
 }
 
 asio::awaitable<std::optional<sessions::server_status>>
-primary_changer::query_server(server_name server, server_command command) {
+primary_changer::query_server(server_name server, server_command command,
+                              clock::duration step_timeout) {
     const auto listed = m_fleet.find_server(server);
     if (!listed) {
         co_return std::nullopt;
@@ -225,11 +245,11 @@
     try {
         connection_request request{listed->address, listed->service, m_fleet.any_account(),
                                    listed->id};
-        const auto opened = co_await channel->open(std::move(request), query_timeout);
+        const auto opened = co_await channel->open(std::move(request), step_timeout);
         if (opened.code == sessions::answer_code::ok) {
             std::vector<server_command> commands{std::move(command)};
-            co_await channel->send(std::move(commands), query_timeout);
-            const auto answer = co_await channel->receive(query_timeout);
+            co_await channel->send(std::move(commands), step_timeout);
+            const auto answer = co_await channel->receive(step_timeout);
             status = answer.status;
         }
     } catch (const server_unreachable& unreachable) {
@@ -251,6 +271,14 @@
     co_return status;
 }
 
+asio::awaitable<bool> primary_changer::still_leads(server_name server) {
+    server_command command;
+    command.kind = command_kind::status;
+    const auto status =
+        co_await query_server(std::move(server), std::move(command), primary_query_timeout);
+    co_return status && status->primary;
+}
+
 asio::awaitable<std::optional<server_name>>
 primary_changer::choose_target(const fleet::primary_change& change,
                                const fleet::promotion_order& last) {
@@ -262,7 +290,7 @@
         // server could then make two primaries.
         server_command command;
         command.kind = command_kind::status;
-        const auto status = co_await query_server(last.target, command);
+        const auto status = co_await query_server(last.target, command, query_timeout);
         if (status && !status->primary) {
             co_return last.target;
         }
@@ -270,7 +298,7 @@
     for (const auto& server : change.candidates) {
         server_command command;
         command.kind = command_kind::status;
-        const auto status = co_await query_server(server, command);
+        const auto status = co_await query_server(server, command, query_timeout);
         if (status && (!best || status->received > longest)) {
             best = server;
             longest = status->received;
@@ -284,13 +312,13 @@
                                                              server_name target) {
     server_command command;
     command.kind = command_kind::status;
-    auto old = co_await query_server(change.from, command);
+    auto old = co_await query_server(change.from, command, query_timeout);
     if (!old || !old->primary) {
         co_return old.has_value();
     }
     command.kind = command_kind::step_down;
     command.term = std::max(old->term, m_fleet.primary_monitor_of(service).term()) + 1;
-    const auto stepped = co_await query_server(change.from, command);
+    const auto stepped = co_await query_server(change.from, command, query_timeout);
     if (stepped) {
         old = stepped;
     }
@@ -300,7 +328,7 @@
     for (int attempt = 0; attempt < catch_up_attempts; ++attempt) {
         command = {};
         command.kind = command_kind::status;
-        const auto status = co_await query_server(target, command);
+        const auto status = co_await query_server(target, command, query_timeout);
         if (status && status->received >= old->received) {
             break;
         }
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -55,7 +55,10 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<promotion_result>>
     send_promotion(fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
-    query_server(server_name server, sessions::server_command command);
+    query_server(server_name server, sessions::server_command command,
+                 clock::duration step_timeout);
+    /// Asks the server, over a new connection, whether it is the primary.
+    [[nodiscard]] boost::asio::awaitable<bool> still_leads(server_name server);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
     choose_target(const fleet::primary_change& change, const fleet::promotion_order& last);
     /// Returns whether the old primary has confirmed that it accepts no more writes.
