Give the transactions of a gateway ids that no earlier process gave out

Cause: a gateway numbered the transactions that it holds for other instances from 1 after each start, and a later statement names its transaction by this number alone. Class: a name that is unique only within the life of a process is used across lives.

The id is now a random number of 64 bits, and a statement of another account than the transaction's is refused as aborted.

--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -151,9 +151,9 @@
         outcome = outcome_from(
             co_await local.run_first(std::move(run), forwarded.reads_only, transaction));
         if (transaction != nullptr) {
-            outcome.transaction = ++m_last_transaction_id;
-            m_transactions[m_last_transaction_id] = {std::move(transaction), steady_clock().now(),
-                                                     false};
+            outcome.transaction = new_transaction_id();
+            m_transactions[outcome.transaction] = {std::move(transaction), forwarded.account,
+                                                   steady_clock().now(), false};
         }
     }
     log_failure(forwarded, outcome);
@@ -165,9 +165,10 @@
     run.route = &forwarded.route;
     forwarded_outcome outcome;
     const auto found = m_transactions.find(forwarded.transaction);
-    if (found == m_transactions.end() || found->second.running) {
+    if (found == m_transactions.end() || found->second.running ||
+        found->second.account != forwarded.account) {
         // The transaction was rolled back here and is no longer in m_transactions, or it is still
-        // running another statement. In both cases this call commits nothing.
+        // running another statement, or it is another account's. This call commits nothing.
         outcome.answer.code = sessions::answer_code::aborted;
         outcome.routing_basis = "transaction";
         outcome.transaction_finished = true;
@@ -185,6 +186,16 @@
     co_return outcome;
 }
 
+std::uint64_t gateway_service::new_transaction_id() {
+    // The sender of a statement does not know of a restart, so numbers that start again from 1
+    // would name the transactions of others.
+    std::uint64_t id = m_random->next();
+    while (id == 0 || m_transactions.contains(id)) {
+        id = m_random->next();
+    }
+    return id;
+}
+
 void gateway_service::log_failure(const forwarded_statement& forwarded,
                                   const forwarded_outcome& outcome) {
     if (outcome.answer.code == sessions::answer_code::ok) {
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random_source.h"
 #include "entry/internal/statement_executor.h"
 #include "entry/internal/traffic_context.h"
 #include "entry/types/forwarded_statement.h"
@@ -40,6 +41,7 @@
 private:
     struct held_transaction {
         std::unique_ptr<statement_transaction> transaction;
+        account_name account;
         clock::time_point used{};
         bool running = false;
     };
@@ -50,13 +52,15 @@
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome> execute(forwarded_statement forwarded);
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
     execute_next(forwarded_statement forwarded, statement_run run);
+    /// An id that no transaction has had, also not before a restart of this instance.
+    [[nodiscard]] std::uint64_t new_transaction_id();
     void log_failure(const forwarded_statement& forwarded, const forwarded_outcome& outcome);
 
     boost::asio::any_io_executor m_executor;
     traffic_context& m_context;
     std::unique_ptr<links::peer_server> m_server;
     std::map<std::uint64_t, held_transaction> m_transactions;
-    std::uint64_t m_last_transaction_id = 0;
+    std::unique_ptr<random_source> m_random = make_random_source();
     int m_running_statements = 0;
     bool m_leaving = false;
 };
--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -100,9 +100,12 @@
                 f"zones: [{', '.join(platform.zones)}]\n"
                 f"fenced_promotions: {str(platform.fenced).lower()}\n")
         program = os.path.join(build, "bin", "oriolethread-platform")
-        with open(self.log_path, "w", encoding="utf-8") as log:
-            self.process = subprocess.Popen([program, "--settings", settings], stdout=log,
-                                            stderr=subprocess.STDOUT)
+        self.command = [program, "--settings", settings]
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT)
 
     def ready(self):
         try:
