Let each session end after an answer during a planned stop

Cause: the stop looked every 50 ms for sessions that were idle at that moment. A busy one seldom is, went on to take statements, and was cut off at the end of the grace time. Besides, a statement whose bytes had been read from the socket, but whose handler had yet to run, looked like no input.

Sessions are now told in turn, in groups, to end as soon as they are idle: at once, or after the answer that ends their operation.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -61,7 +61,7 @@
         m_statement_running = true;
         const bool open = co_await handle(std::move(*statement));
         m_statement_running = false;
-        if (!open) {
+        if (!open || (m_closing && m_session.state() == transaction_state::none)) {
             co_return;
         }
     }
@@ -76,6 +76,13 @@
     m_channel->close();
 }
 
+void caller_service::close_when_idle() {
+    m_closing = true;
+    if (idle()) {
+        close();
+    }
+}
+
 void caller_service::abort_transaction() {
     if (m_session.state() != transaction_state::open || m_statement_running) {
         return;
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -31,6 +31,12 @@
     /// Closes the connection at once, even during a statement.
     void close();
 
+    /// Returns whether close_when_idle() was called.
+    [[nodiscard]] bool closing() const noexcept { return m_closing; }
+
+    /// Closes the session as soon as it is idle: now, or after the answer that ends its operation.
+    void close_when_idle();
+
     /// Rolls back the open transaction if no statement is running; its next statement is answered
     /// with aborted.
     void abort_transaction();
@@ -56,6 +62,7 @@
     sessions::caller_session m_session;
     std::unique_ptr<statement_transaction> m_transaction;
     bool m_statement_running = false;
+    bool m_closing = false; ///< reads no statement that starts another operation
     bool m_transaction_aborted = false; ///< the open transaction was rolled back by this instance
 };
 
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -133,7 +133,7 @@
             }
             m_gateway.abort_transactions();
         }
-        close_idle(group);
+        close_next(sessions, group);
         co_await pause(close_interval);
     }
     m_listener->stop();
@@ -149,6 +149,17 @@
     }
 }
 
+void traffic_thread::close_next(const std::vector<std::shared_ptr<caller_service>>& sessions,
+                                std::size_t max_sessions) {
+    std::size_t closed = 0;
+    for (const auto& session : sessions) {
+        if (closed < max_sessions && !session->closing()) {
+            session->close_when_idle();
+            ++closed;
+        }
+    }
+}
+
 void traffic_thread::close_idle(std::size_t max_sessions) {
     std::size_t closed = 0;
     for (const auto& session : open_sessions()) {
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -61,6 +61,9 @@
     [[nodiscard]] boost::asio::awaitable<void> report_regularly();
     [[nodiscard]] boost::asio::awaitable<void> close_sessions(std::function<void()> on_end);
     [[nodiscard]] boost::asio::awaitable<void> close_idle_while_isolated();
+    /// Lets up to `max_sessions` of the sessions end as soon as they are idle.
+    static void close_next(const std::vector<std::shared_ptr<caller_service>>& sessions,
+                           std::size_t max_sessions);
     void close_idle(std::size_t max_sessions);
     [[nodiscard]] boost::asio::awaitable<void> pause(clock::duration time);
     [[nodiscard]] std::vector<std::shared_ptr<caller_service>> open_sessions();
--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -37,6 +37,8 @@
 class Backend:
     """One backend server. Log entries are (term, item, data).
 
+    `work_s` is the time that each request takes.
+
     Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, and the next
     `lost_answers` requests that have an id are executed but not answered. `ran` records the
     executed statements as (request id, account, words, transaction state, session values)."""
@@ -49,6 +51,7 @@
         self.received_at = [0.0]
         self.lag_s = 0.0
         self.dark = False
+        self.work_s = 0.0
         self.lost_answers = 0
         self.writes = 0  # entries written to the store
         self.state = "ready"
@@ -141,6 +144,8 @@
                 return None
             while self.server.dark:
                 await asyncio.sleep(0.02)
+            if self.server.work_s > 0:
+                await asyncio.sleep(self.server.work_s)
             _, request_id, text = line.split(" ", 2)
             answer = self.execute(request_id, text)
             if request_id != "-" and self.server.lost_answers > 0:
--- a/tests/process/users_platform_test.py
+++ b/tests/process/users_platform_test.py
@@ -225,6 +225,37 @@
         self.assertIn("event=stop ", log)
         self.assertNotIn("instance-0", self.platform.store.objects["oriole-instances"])
 
+    # Guards against a planned stop that ends while the servers run statements of busy sessions, which
+    # never were idle when the instance looked for sessions to close.
+    def test_planned_stop_answers_the_statements_of_busy_sessions(self):
+        for server in self.platform.database.servers.values():
+            server.work_s = 0.02
+        unanswered, served = [], []
+
+        def send_without_pause():
+            session = self.session("bounded", index=0)
+            try:
+                while True:
+                    answered = False
+                    served.append(session.run("READ a").error)
+                    answered = True
+            except OSError:
+                if not answered:
+                    unanswered.append(session.last_id)
+
+        callers = [threading.Thread(target=send_without_pause) for _ in range(16)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        self.instances[0].terminate()
+        self.assertEqual(self.instances[0].process.wait(timeout=STOP_GRACE_S + 2), 0)
+        for caller in callers:
+            caller.join()
+        time.sleep(0.5)  # The servers end what they have received.
+        ran = {run[0] for _, run in self.platform.runs()}
+        self.assertGreater(len(served), len(callers))
+        self.assertEqual([request for request in unanswered if request in ran], [])
+
     # Guards against SIGHUP, sent after a change of the settings file, ending the instance or its
     # sessions.
     def test_hangup_keeps_open_sessions(self):
