Let instances that refuse connections keep their fraction of the rates

Cause: a refused connection counted as the end of the process there, and the rates were divided among the rest. Class: an absence seen by one side decides on something that both sides share. A partition can refuse connections too.

Roles still go to live instances only, but instances that refuse keep their fractions until their entry ends or they announce their end. An ended process takes its fraction along until it has started again or its entry has timed out: callers of its accounts may be refused meanwhile, but no rate is exceeded.

--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -62,7 +62,7 @@
     sessions::caller_session m_session;
     std::unique_ptr<statement_transaction> m_transaction;
     bool m_statement_running = false;
-    bool m_closing = false; ///< reads no statement that starts another operation
+    bool m_closing = false;             ///< reads no statement that starts another operation
     bool m_transaction_aborted = false; ///< the open transaction was rolled back by this instance
 };
 
--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -337,13 +337,14 @@
     if (leases_needed()) {
         m_leases.add_services(services);
     }
-    auto roles = fleet::assign_roles(m_own, peers(), services, m_leasing);
+    auto roles = fleet::assign_roles(m_own, peers(), services, m_leasing, m_instances.refused());
     if (m_roles != nullptr && roles == *m_roles) {
         return;
     }
     m_roles = std::make_shared<const fleet::role_assignment>(std::move(roles));
     m_roles_changed = true;
-    m_rates.set_roles(*m_roles, peers().size() + 1, boot_clock().now());
+    const auto instances = peers().size() + m_instances.refused().size() + 1;
+    m_rates.set_roles(*m_roles, instances, boot_clock().now());
 }
 
 fleet::primary_change_inputs fleet_state::situation(const service_name& service,
--- a/src/entry/internal/instance_registry.cpp
+++ b/src/entry/internal/instance_registry.cpp
@@ -81,7 +81,7 @@
 
 void instance_registry::record_report(const instance_id& from, std::uint64_t incarnation) {
     m_contacted.insert(from);
-    if (refused(from, incarnation)) {
+    if (has_refused(from, incarnation)) {
         m_refusals.erase(from);
         update_live();
     }
@@ -132,30 +132,32 @@
     return found != m_stopped_incarnations.end() && found->second == incarnation;
 }
 
-bool instance_registry::refused(const instance_id& instance, std::uint64_t incarnation) const {
+bool instance_registry::has_refused(const instance_id& instance, std::uint64_t incarnation) const {
     const auto found = m_refusals.find(instance);
     return found != m_refusals.end() && found->second.incarnation == incarnation;
 }
 
 void instance_registry::update_live() {
     std::vector<fleet::registered_instance> live;
+    std::vector<fleet::registered_instance> refused;
     const auto interval = renewal_interval();
     for (const auto& [id, seen] : m_listed) {
         const auto limit = m_contacted.contains(id) ? contacted_instance_timeout(interval)
                                                     : uncontacted_instance_timeout(interval);
         const bool timed_out =
             m_own_heartbeat_at && *m_own_heartbeat_at - seen.heartbeat_at > limit;
-        const bool stopped =
-            ended(id, seen.listed.incarnation) || refused(id, seen.listed.incarnation);
-        if (id != m_own.id && !timed_out && !stopped) {
-            live.push_back(seen.listed);
-            // The heartbeat counter only shows that the instance is alive; resetting it keeps it
-            // from counting as a change of the list.
-            live.back().heartbeats = 0;
+        if (id == m_own.id || timed_out || ended(id, seen.listed.incarnation)) {
+            continue;
         }
+        auto& list = has_refused(id, seen.listed.incarnation) ? refused : live;
+        list.push_back(seen.listed);
+        // The heartbeat counter only shows that the instance is alive; resetting it keeps it from
+        // counting as a change of the list.
+        list.back().heartbeats = 0;
     }
-    m_changed = m_changed || live != m_live;
+    m_changed = m_changed || live != m_live || refused != m_refused;
     m_live = std::move(live);
+    m_refused = std::move(refused);
 }
 
 } // namespace oriole::entry
--- a/src/entry/internal/instance_registry.h
+++ b/src/entry/internal/instance_registry.h
@@ -46,12 +46,18 @@
         return m_live;
     }
 
+    /// The instances that would be considered alive, had their machines not refused a connection.
+    /// A partition may refuse connections too, so their processes may go on.
+    [[nodiscard]] const std::vector<fleet::registered_instance>& refused() const noexcept {
+        return m_refused;
+    }
+
     /// Interval at which each instance renews its entry in the store. It grows with the number of
     /// instances, so that the renewals of a large fleet do not load the store more than those of a
     /// small one.
     [[nodiscard]] clock::duration renewal_interval() const;
 
-    /// Returns whether live() has changed since the last call.
+    /// Returns whether live() or refused() has changed since the last call.
     [[nodiscard]] bool consume_changed() { return std::exchange(m_changed, false); }
 
     /// Returns whether the store's last list contains the instance in this instance's zone.
@@ -79,7 +85,7 @@
     };
 
     [[nodiscard]] bool ended(const instance_id& instance, std::uint64_t incarnation) const;
-    [[nodiscard]] bool refused(const instance_id& instance, std::uint64_t incarnation) const;
+    [[nodiscard]] bool has_refused(const instance_id& instance, std::uint64_t incarnation) const;
     void update_live();
 
     fleet::registered_instance m_own;
@@ -92,6 +98,7 @@
     std::uint64_t m_era = 0;                               ///< the store's era of the last list
     std::optional<clock::time_point> m_reregistration_end; ///< after the last restore
     std::vector<fleet::registered_instance> m_live;
+    std::vector<fleet::registered_instance> m_refused;
     bool m_has_list = false;
     bool m_changed = false;
     bool m_unlisted = false;
--- a/src/entry/tests/instance_registry_test.cpp
+++ b/src/entry/tests/instance_registry_test.cpp
@@ -73,10 +73,12 @@
     list(1, 1, 0s);
     m_registry.mark_refused(instance_id("other0"), 1, at(1s));
     EXPECT_TRUE(m_registry.live().empty());
+    EXPECT_EQ(m_registry.refused().size(), 1U);
     m_registry.advance(at(2s));
     EXPECT_TRUE(m_registry.live().empty());
     m_registry.advance(at(1s + instance_registry::refusal_lifetime));
     EXPECT_EQ(m_registry.live().size(), 1U);
+    EXPECT_TRUE(m_registry.refused().empty());
 }
 
 // Guards against ignoring an instance that reports although its machine refused a connection.
--- a/src/fleet/internal/role_assignment.cpp
+++ b/src/fleet/internal/role_assignment.cpp
@@ -83,22 +83,30 @@
     std::map<instance_id, registered_instance> m_peers;
 };
 
-rate_roles assign_rates(const registered_instance& own, const zone_members& zones,
-                        const std::string& subject) {
+/// `live` and `all` have the instances that are alive and those that may be, by zone.
+rate_roles assign_rates(const registered_instance& own, const zone_members& live,
+                        const zone_members& all, const std::string& subject) {
     rate_roles roles;
     std::vector<registered_instance> own_zone_owners;
     std::vector<registered_instance> remote_owners;
     std::vector<registered_instance> zone_candidates;
-    for (const auto& [zone, members] : zones) {
+    for (const auto& [zone, members] : all) {
+        const auto in_zone = live.find(zone);
+        const auto live_members =
+            in_zone == live.end() ? std::vector<registered_instance>() : in_zone->second;
         const bool small = members.size() <= small_zone_instances;
         const auto owners =
             highest_ranked(rank_instances(members, subject), small ? small_zone_instances : 1);
         for (const auto& owner : owners) {
-            const auto owner_count = static_cast<double>(zones.size() * owners.size());
+            const auto owner_count = static_cast<double>(all.size() * owners.size());
             roles.owners.push_back({owner.id, 1 / owner_count});
-            (zone == own.zone ? own_zone_owners : remote_owners).push_back(owner);
+            if (contains_instance(live_members, owner.id)) {
+                (zone == own.zone ? own_zone_owners : remote_owners).push_back(owner);
+            }
+        }
+        if (!live_members.empty()) {
+            zone_candidates.push_back(rank_instances(live_members, subject).front());
         }
-        zone_candidates.push_back(owners.front());
     }
     const auto coordinator = rank_instances(std::move(zone_candidates), subject).front();
     roles.coordinator = coordinator.id;
@@ -179,19 +187,24 @@
 
 role_assignment assign_roles(const registered_instance& own,
                              const std::vector<registered_instance>& live,
-                             const std::set<service_name>& services, primary_leasing leasing) {
+                             const std::set<service_name>& services, primary_leasing leasing,
+                             const std::vector<registered_instance>& refused) {
     zone_members zones;
     zones[own.zone].push_back(own);
     for (const auto& instance : live) {
         zones[instance.zone].push_back(instance);
     }
+    auto all_zones = zones;
+    for (const auto& instance : refused) {
+        all_zones[instance.zone].push_back(instance);
+    }
     role_assignment roles;
     peer_set report_peers(own.id);
     for (const auto& service : services) {
         assign_service(own, zones, service, leasing, roles, report_peers);
     }
     for (std::size_t group = 0; group < static_cast<std::size_t>(rate_groups); ++group) {
-        auto assigned = assign_rates(own, zones, group_subject(group));
+        auto assigned = assign_rates(own, zones, all_zones, group_subject(group));
         if (assigned.coordinator == own.id) {
             report_peers.add(assigned.order);
             for (const auto& owner : assigned.owners) {
--- a/src/fleet/role_assignment.h
+++ b/src/fleet/role_assignment.h
@@ -65,12 +65,15 @@
     needed      ///< a replaced primary keeps accepting writes until it is told to step down
 };
 
-/// Computes the roles as seen by `own`. `live` lists the other live instances. Precondition: `live`
-/// does not contain `own`. Thread-safe.
+/// Computes the roles as seen by `own`. `live` lists the other live instances, and `refused` those
+/// that may be cut off rather than have ended: they get no roles, but keep their fractions of the
+/// rates, which they use as long as they run. Preconditions: the lists have no instance in common
+/// and do not contain `own`. Thread-safe.
 [[nodiscard]] role_assignment assign_roles(const registered_instance& own,
                                            const std::vector<registered_instance>& live,
                                            const std::set<service_name>& services,
-                                           primary_leasing leasing);
+                                           primary_leasing leasing,
+                                           const std::vector<registered_instance>& refused = {});
 
 /// Whether `group` contains the instance.
 [[nodiscard]] bool contains_instance(const std::vector<registered_instance>& group,
--- a/src/fleet/tests/rate_lending_test.cpp
+++ b/src/fleet/tests/rate_lending_test.cpp
@@ -105,6 +105,31 @@
     EXPECT_NEAR(total_rate(3s), 100, rate_tolerance);
 }
 
+// Guards against a partition that refuses connections, on whose two sides an account gets its whole
+// rate, because each side takes the other's instances for ended.
+TEST_F(rate_lending_test, sides_that_refuse_each_other_admit_one_rate_together) {
+    exchange_all(3s);
+    for (std::size_t size = 1; size < m_instances.size(); ++size) {
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            std::vector<registered_instance> own_side;
+            std::vector<registered_instance> other_side;
+            for (std::size_t other = 0; other < m_instances.size(); ++other) {
+                const bool same_side = (i < size) == (other < size);
+                if (other != i) {
+                    (same_side ? own_side : other_side).push_back(m_instances[other].listed);
+                }
+            }
+            const auto roles = assign_roles(m_instances[i].listed, own_side, {},
+                                            primary_leasing::not_needed, other_side);
+            m_instances[i].rates.set_roles(roles, m_instances.size(), at(4s));
+        }
+        for (const auto time : {4s, 5s, 6s, 9s}) {
+            EXPECT_LE(total_rate(time), 100 + rate_tolerance);
+        }
+        EXPECT_NEAR(total_rate(9s), 100, rate_tolerance);
+    }
+}
+
 // Guards against an owner that is cut off from the coordinator and refuses all its callers.
 TEST_F(rate_lending_test, unreachable_owner_regains_its_fraction_after_the_loan) {
     exchange_all(3s);
