Ask every replica that may have the only copy of a commit before a promotion

Cause: only servers that were neither draining nor in an evacuated zone were asked for their log, and the longest of those that answered was promoted. The replica with the only copy could be left out, or answer too late. Class: an absent answer is taken for the absence of what it would tell.

Where commits are acknowledged by n replicas, all replicas are asked, and none is promoted while n or more do not answer. The longest log decides, also that of a leaving replica, which is then replaced in a planned change; a planned change is not completed before its target has caught up.

--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -357,6 +357,10 @@
         }
     }
     result.evacuated_zones = m_evacuated.zones();
+    const auto limits = m_config->services.find(service);
+    if (limits != m_config->services.end()) {
+        result.synchronous_replicas = limits->second.synchronous_replicas;
+    }
     result.own = m_evidence.own_of(service);
     result.peers = m_evidence.peers_of(service, now);
     const auto electors = m_roles->electors.find(service);
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -80,8 +80,6 @@
 
 asio::awaitable<void> primary_changer::perform_change(service_name service,
                                                       fleet::primary_change change) {
-    std::erase_if(change.candidates,
-                  [this](const auto& server) { return m_refused_until.contains(server); });
     const auto seen_fence = m_orders.last_fence(service);
     auto order = co_await m_orders.newest(service);
     auto& monitor = m_fleet.primary_monitor_of(service);
@@ -155,7 +153,11 @@
             co_return;
         }
     } else if (change.reason == fleet::change_reason::planned && !change.from.empty()) {
-        static_cast<void>(co_await step_down_old_primary(order.service, change, order.target));
+        const auto result = co_await step_down_old_primary(order.service, change, order.target);
+        if (!result.caught_up && change.synchronous_replicas > 0) {
+            log_outcome(order.service, "target_lacks_commits");
+            co_return;
+        }
     }
     const auto result = co_await send_promotion(order);
     if (!result) {
@@ -191,15 +193,16 @@
     m_on_change();
     const auto stopped = std::make_shared<bool>(false);
     if (change.reason == fleet::change_reason::planned && !change.from.empty()) {
-        *stopped = co_await step_down_old_primary(order.service, change, order.target);
+        const auto result = co_await step_down_old_primary(order.service, change, order.target);
+        *stopped = result.stopped;
     } else if (!change.from.empty() && change.from != order.target) {
         // The old primary seems lost, but it may only be unreachable for some instances.
         asio::co_spawn(m_executor, step_down_old_primary(order.service, change, order.target),
-                       [stopped](const std::exception_ptr& failure, bool has_stopped) {
+                       [stopped](const std::exception_ptr& failure, step_down_result result) {
                            if (failure) {
                                std::rethrow_exception(failure);
                            }
-                           *stopped = has_stopped;
+                           *stopped = result.stopped;
                        });
     }
     std::function<bool()> old_primary_stopped = [stopped] { return *stopped; };
@@ -282,8 +285,6 @@
 asio::awaitable<std::optional<server_name>>
 primary_changer::choose_target(const fleet::primary_change& change,
                                const fleet::promotion_order& last) {
-    std::optional<server_name> best;
-    machines::log_position longest;
     if (m_fleet.leases_needed() && last.target == change.from &&
         !m_refused_until.contains(last.target)) {
         // The last promotion may not have been sent, or may still take effect. Promoting another
@@ -295,26 +296,51 @@
             co_return last.target;
         }
     }
+    std::vector<fleet::replica_log> logs;
     for (const auto& server : change.candidates) {
+        logs.push_back(co_await query_log(server, false));
+    }
+    if (change.synchronous_replicas > 0) {
+        for (const auto& server : change.leaving) {
+            logs.push_back(co_await query_log(server, true));
+        }
+        // An old primary that has stepped down has all commits, but it is no replica that
+        // acknowledged them.
         server_command command;
         command.kind = command_kind::status;
-        const auto status = co_await query_server(server, command, query_timeout);
-        if (status && (!best || status->received > longest)) {
-            best = server;
-            longest = status->received;
+        const auto old = co_await query_server(change.from, command, query_timeout);
+        if (old && !old->primary) {
+            logs.push_back({change.from, true, old->received});
         }
     }
-    co_return best;
+    co_return fleet::choose_longest_log(logs, change.synchronous_replicas);
+}
+
+asio::awaitable<fleet::replica_log> primary_changer::query_log(server_name server,
+                                                               bool is_leaving) {
+    fleet::replica_log log{server, is_leaving, std::nullopt};
+    if (m_refused_until.contains(server)) {
+        co_return log;
+    }
+    server_command command;
+    command.kind = command_kind::status;
+    const auto status = co_await query_server(std::move(server), std::move(command), query_timeout);
+    if (status) {
+        log.received = status->received;
+    }
+    co_return log;
 }
 
-asio::awaitable<bool> primary_changer::step_down_old_primary(service_name service,
-                                                             fleet::primary_change change,
-                                                             server_name target) {
+asio::awaitable<primary_changer::step_down_result>
+primary_changer::step_down_old_primary(service_name service, fleet::primary_change change,
+                                       server_name target) {
+    step_down_result result;
     server_command command;
     command.kind = command_kind::status;
     auto old = co_await query_server(change.from, command, query_timeout);
     if (!old || !old->primary) {
-        co_return old.has_value();
+        result.stopped = old.has_value();
+        co_return result;
     }
     command.kind = command_kind::step_down;
     command.term = std::max(old->term, m_fleet.primary_monitor_of(service).term()) + 1;
@@ -322,7 +348,8 @@
     if (stepped) {
         old = stepped;
     }
-    const bool stopped = stepped && !stepped->primary;
+    result.stopped = stepped && !stepped->primary;
+    result.caught_up = false;
     // The commits that the old primary has acknowledged are safe once the target has received the
     // old primary's log.
     for (int attempt = 0; attempt < catch_up_attempts; ++attempt) {
@@ -330,11 +357,12 @@
         command.kind = command_kind::status;
         const auto status = co_await query_server(target, command, query_timeout);
         if (status && status->received >= old->received) {
+            result.caught_up = true;
             break;
         }
         co_await pause(m_executor, catch_up_pause);
     }
-    co_return stopped;
+    co_return result;
 }
 
 void primary_changer::log_outcome(const service_name& service, std::string_view outcome) {
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -8,6 +8,7 @@
 #include "entry/internal/lease_revoker.h"
 #include "entry/internal/promotion_orders.h"
 #include "entry/server_channel.h"
+#include "fleet/promotion_choice.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -33,6 +34,14 @@
     void start_due_changes(clock::time_point now);
 
 private:
+    struct step_down_result {
+        bool stopped = false; ///< the old primary has confirmed that it accepts no more writes
+        /// The target has received what the old primary had acknowledged, as far as that is known.
+        bool caught_up = true;
+
+        friend bool operator==(const step_down_result&, const step_down_result&) = default;
+    };
+
     struct candidate_status {
         server_name server;
         sessions::server_status status;
@@ -61,8 +70,11 @@
     [[nodiscard]] boost::asio::awaitable<bool> still_leads(server_name server);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
     choose_target(const fleet::primary_change& change, const fleet::promotion_order& last);
-    /// Returns whether the old primary has confirmed that it accepts no more writes.
-    [[nodiscard]] boost::asio::awaitable<bool>
+    /// Asks the server for the log that it has received; a server that the platform has just
+    /// refused to promote counts as one that does not answer.
+    [[nodiscard]] boost::asio::awaitable<fleet::replica_log> query_log(server_name server,
+                                                                       bool is_leaving);
+    [[nodiscard]] boost::asio::awaitable<step_down_result>
     step_down_old_primary(service_name service, fleet::primary_change change, server_name target);
     void log_outcome(const service_name& service, std::string_view outcome);
 
--- a/src/fleet/internal/ranked_primary_monitor.cpp
+++ b/src/fleet/internal/ranked_primary_monitor.cpp
@@ -92,7 +92,8 @@
             return std::nullopt;
         }
         auto change = make_change(inputs);
-        if (change.candidates.empty()) {
+        const bool may_promote_leaving = change.synchronous_replicas > 0 && !change.leaving.empty();
+        if (change.candidates.empty() && !may_promote_leaving) {
             return std::nullopt;
         }
         return change;
@@ -177,9 +178,12 @@
         change.reason = primary != nullptr && draining_or_evacuated(*primary, inputs)
                             ? change_reason::planned
                             : change_reason::lost;
+        change.synchronous_replicas = inputs.synchronous_replicas;
         for (const auto& server : inputs.servers) {
-            if (server.id != m_primary && !draining_or_evacuated(server, inputs)) {
-                change.candidates.push_back(server.id);
+            if (server.id != m_primary) {
+                auto& list =
+                    draining_or_evacuated(server, inputs) ? change.leaving : change.candidates;
+                list.push_back(server.id);
             }
         }
         return change;
--- a/src/fleet/primary_monitor.h
+++ b/src/fleet/primary_monitor.h
@@ -28,6 +28,9 @@
     server_name from; ///< empty when no primary is known
     change_reason reason = change_reason::lost;
     std::vector<server_name> candidates; ///< servers that may be promoted, preferred ones first
+    /// Servers that are about to leave, but may have the only copy of an acknowledged commit.
+    std::vector<server_name> leaving;
+    int synchronous_replicas = 0; ///< replicas that receive a commit before it is acknowledged
 
     friend bool operator==(const primary_change&, const primary_change&) = default;
 };
@@ -37,7 +40,8 @@
     service_name service;
     std::vector<registered_server> servers;
     std::set<zone_name> evacuated_zones;
-    primary_evidence own;                          ///< what this instance observed
+    int synchronous_replicas = 0; ///< replicas that receive a commit before it is acknowledged
+    primary_evidence own;         ///< what this instance observed
     std::map<instance_id, primary_evidence> peers; ///< recent reports of other instances
     std::vector<registered_instance> instances;    ///< instances that may promote, in turn order
     instance_id last_promoter;                     ///< instance that wrote the last promotion order
