Refuse forwarded statements whose time ended while the gateway was suspended

Cause: a resumed gateway read the statement from its socket and counted its time from then. Class: the time at which a message is read is taken for the time at which it arrived.

suspension_monitor notices by the boot clock that the traffic thread had no turn; a message read at the end of such a gap, or shortly after, may have waited for all of it. A statement without time left is refused as not run.

A suspension of less than 250 ms is not noticed, and a statement that a client sent to the suspended instance itself is still run.

--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -105,19 +105,19 @@
     if (m_leaving && forwarded.phase != transaction_phase::next) {
         throw call_rejected("the instance is shutting down");
     }
+    forwarded.elapsed += m_context.unread_time();
+    if (forwarded.elapsed >= forwarded.route.statement_timeout) {
+        // The caller has been told that the statement timed out, and may have sent another.
+        end_transaction(forwarded.transaction);
+        throw call_rejected("the time limit of the statement is over");
+    }
     const running_statement counted(m_running_statements);
     auto outcome = co_await execute(std::move(forwarded));
     co_return encode_outcome(outcome);
 }
 
 asio::awaitable<std::string> gateway_service::roll_back(std::string params) {
-    const auto transaction_id =
-        nlohmann::json::parse(params).at("transaction").get<std::uint64_t>();
-    const auto found = m_transactions.find(transaction_id);
-    if (found != m_transactions.end() && !found->second.running) {
-        found->second.transaction->roll_back();
-        m_transactions.erase(found);
-    }
+    end_transaction(nlohmann::json::parse(params).at("transaction").get<std::uint64_t>());
     co_return "{}";
 }
 
@@ -186,6 +186,14 @@
     co_return outcome;
 }
 
+void gateway_service::end_transaction(std::uint64_t id) {
+    const auto found = m_transactions.find(id);
+    if (found != m_transactions.end() && !found->second.running) {
+        found->second.transaction->roll_back();
+        m_transactions.erase(found);
+    }
+}
+
 std::uint64_t gateway_service::new_transaction_id() {
     // The sender of a statement does not know of a restart, so numbers that start again from 1
     // would name the transactions of others.
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -52,6 +52,8 @@
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome> execute(forwarded_statement forwarded);
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
     execute_next(forwarded_statement forwarded, statement_run run);
+    /// Rolls the transaction back, if it is open and no statement is running in it.
+    void end_transaction(std::uint64_t id);
     /// An id that no transaction has had, also not before a restart of this instance.
     [[nodiscard]] std::uint64_t new_transaction_id();
     void log_failure(const forwarded_statement& forwarded, const forwarded_outcome& outcome);
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -198,6 +198,7 @@
 }
 
 traffic_report traffic_context::collect_report() {
+    m_suspensions.record_turn(boot_clock().now());
     traffic_report report;
     const auto now = steady_clock().now();
     for (const auto& [name, known] : m_services) {
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -10,6 +10,7 @@
 #include "entry/internal/gateway_link.h"
 #include "entry/internal/local_executor.h"
 #include "entry/internal/service_traffic.h"
+#include "entry/internal/suspension_monitor.h"
 #include "entry/types/entry_settings.h"
 #include "entry/types/traffic_report.h"
 #include "fleet/types/fleet_view.h"
@@ -69,6 +70,12 @@
     /// Builds the report for the control thread and starts a new report interval.
     [[nodiscard]] traffic_report collect_report();
 
+    /// How long a message that is read now may have waited unread, because this thread was
+    /// suspended.
+    [[nodiscard]] clock::duration unread_time() const {
+        return m_suspensions.unread_time(boot_clock().now());
+    }
+
     [[nodiscard]] std::shared_ptr<const fleet::fleet_view> view() const noexcept { return m_view; }
 
     [[nodiscard]] decision_log& log() noexcept { return m_log; }
@@ -111,6 +118,7 @@
     latency_histogram m_statement_latency;
     std::shared_ptr<const fleet::fleet_view> m_view;
     gateway_link m_link;
+    suspension_monitor m_suspensions;
     std::map<service_name, std::unique_ptr<service_entry>> m_services;
     std::unique_ptr<contracts::rate_limiter> m_limiter;
     std::map<account_name, fleet::account_share> m_shares;
