--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -93,15 +93,6 @@
         m_on_change();
         co_return;
     }
-    const bool unreadable = order.fence != 0 && order.target.empty();
-    if (unreadable) {
-        log_outcome(service, "last_order_unreadable");
-    }
-    if (unreadable && m_fleet.leases_needed()) {
-        // Its promotion may still take effect, at a server that is not known.
-        co_await pause(m_executor, failure_pause);
-        co_return;
-    }
     if (!m_fleet.may_promote(order, steady_clock().now())) {
         m_log.write(log_entry("primary_change")
                         .add("service", service.str())
@@ -111,24 +102,14 @@
         co_await pause(m_executor, lease_pause);
         co_return;
     }
-    if (m_fleet.leases_needed()) {
-        const bool reaches_majority = co_await m_leases.reaches_majority(service);
-        if (!reaches_majority) {
-            log_outcome(service, "majority_of_zones_not_reached");
-            co_await pause(m_executor, failure_pause);
-            co_return;
-        }
-    }
-    if (change.reason == fleet::change_reason::lost && !change.from.empty() &&
-        co_await still_leads(change.from)) {
-        // Its open connections carry nothing any more, for example after a reset of the network.
-        log_outcome(service, "primary_answers");
-        co_await pause(m_executor, failure_pause);
-        co_return;
+    std::optional<server_name> target;
+    auto obstacle = co_await find_obstacle(change, order);
+    if (obstacle.empty()) {
+        target = co_await choose_target(change, order);
+        obstacle = "no_candidate";
     }
-    const auto target = co_await choose_target(change, order);
     if (!target) {
-        log_outcome(service, "no_candidate");
+        log_outcome(service, obstacle);
         co_await pause(m_executor, failure_pause);
         co_return;
     }
@@ -144,6 +125,30 @@
     co_await promote_target(std::move(change), *store_entry);
 }
 
+asio::awaitable<std::string_view>
+primary_changer::find_obstacle(const fleet::primary_change& change,
+                               const fleet::promotion_order& last) {
+    const bool leased = m_fleet.leases_needed();
+    if (leased && last.fence != 0 && last.target.empty()) {
+        // The promotion may still take effect, at a server that is not known.
+        co_return "last_order_unreadable";
+    }
+    if (leased) {
+        const bool reaches_majority = co_await m_leases.reaches_majority(last.service);
+        if (!reaches_majority) {
+            co_return "majority_of_zones_not_reached";
+        }
+    }
+    if (change.reason == fleet::change_reason::lost && !change.from.empty()) {
+        const bool primary_answers = co_await still_leads(change.from);
+        if (primary_answers) {
+            // Only the open connections to it carry nothing any more.
+            co_return "primary_answers";
+        }
+    }
+    co_return std::string_view();
+}
+
 asio::awaitable<void> primary_changer::promote_target(fleet::primary_change change,
                                                       fleet::promotion_order order) {
     if (m_fleet.leases_needed()) {
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -66,6 +66,9 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
     query_server(server_name server, sessions::server_command command,
                  clock::duration step_timeout);
+    /// Returns why the primary must not be changed now, as an outcome to log; empty when it may.
+    [[nodiscard]] boost::asio::awaitable<std::string_view>
+    find_obstacle(const fleet::primary_change& change, const fleet::promotion_order& last);
     /// Asks the server, over a new connection, whether it is the primary.
     [[nodiscard]] boost::asio::awaitable<bool> still_leads(server_name server);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
