Run on when the reader of the output has ended

When standard output is a pipe and its reader goes away, as when a log collector restarts, the process ended by SIGPIPE at its next log line.

Cause: nothing ignored the signal. Related: with closed standard descriptors, the first sockets and timers got the numbers 0 to 2, to which log lines are written.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 #include "app/entry_instance.h"
 #include "app/settings_reader.h"
+#include "base/process_setup.h"
 
 #include <boost/program_options.hpp>
 #include <glog/logging.h>
@@ -79,6 +80,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    oriole::prepare_process();
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     const auto known_options = describe_options();
--- /dev/null
+++ b/tests/process/http_lifetime_test.py
@@ -0,0 +1,74 @@
+"""Tests that oriolethread, the HTTP front end, starts, and runs until it is told to stop, whatever
+happens to its output, to the ports that it listens on and at its start."""
+
+import os
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+from fixtures import ROOT, WAIT_S
+from oriole_site.http import fetch_status
+from oriole_site.processes import LOOPBACK, address, wait_until
+from oriole_site.site import Options, Site
+
+LOG_TIME_S = 1.0
+TAKEN_S = 1.0
+EXIT_LIMIT_S = 20.0
+
+
+class HttpLifetimeTest(unittest.TestCase):
+    def setUp(self):
+        self.work_dir = tempfile.mkdtemp(prefix="oriole-test-")
+        self.addCleanup(shutil.rmtree, self.work_dir, ignore_errors=True)
+        build = os.environ.get("ORIOLE_BUILD", os.path.join(ROOT, "build"))
+        self.site = Site(build, self.work_dir, Options(instances=1))
+        self.addCleanup(self.site.stop)
+        self.site.start_platform()
+        self.instance = self.site.instances[0]
+        self.settings = self.site.write_settings(self.instance)
+        self.log_path = os.path.join(self.work_dir, "instance.log")
+
+    def start(self, output=None):
+        command = [self.site.program("oriolethread"), "--settings", self.settings]
+        with open(self.log_path, "w", encoding="utf-8") as log:
+            self.process = subprocess.Popen(command, stdout=output or log, stderr=output or log)
+        self.addCleanup(self.end)
+
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+
+    def is_healthy(self):
+        try:
+            return fetch_status(self.instance.admin_port, "/healthz") == 200
+        except OSError:
+            return False
+
+    def assert_runs(self):
+        wait_until(lambda: self.process.poll() is not None or self.is_healthy(), WAIT_S, "health")
+        self.assertIsNone(self.process.poll())
+
+    def assert_stops(self):
+        self.process.terminate()
+        self.assertEqual(self.process.wait(timeout=EXIT_LIMIT_S), 0)
+
+    # Guards against SIGPIPE, which ends the process at its next log line when a log collector that
+    # reads its output has ended.
+    def test_instance_runs_after_the_reader_of_its_log_has_ended(self):
+        reading, writing = os.pipe()
+        self.start(writing)
+        os.close(writing)
+        self.assert_runs()
+        os.close(reading)
+        time.sleep(LOG_TIME_S)
+        self.assert_runs()
+        self.assert_stops()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/process/process_lifetime_test.py
+++ b/tests/process/process_lifetime_test.py
@@ -50,6 +50,65 @@
         self.assertEqual(instance.process.wait(timeout=EXIT_LIMIT_S), 0)
 
 
+class OutputTest(LifetimeTest):
+    # Guards against SIGPIPE, which ends the process at its next log line when a log collector that
+    # reads its output has ended.
+    def test_instance_serves_after_the_reader_of_its_log_has_ended(self):
+        instance = self.prepare()
+        reading, writing = os.pipe()
+        self.start(instance, stdout=writing, stderr=writing)
+        os.close(writing)
+        self.assert_serves(instance)
+        os.close(reading)
+        time.sleep(LOG_TIME_S)
+        self.assert_serves(instance)
+        self.assert_stops(instance)
+
+    # Guards against a log that ends for good when the collector that reads it is restarted.
+    def test_log_continues_when_a_new_reader_opens_the_pipe(self):
+        instance = self.prepare()
+        pipe = os.path.join(self.work_dir, "log.pipe")
+        os.mkfifo(pipe)
+        reading = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+        writing = os.open(pipe, os.O_WRONLY)
+        self.start(instance, stdout=writing, stderr=writing)
+        os.close(writing)
+        self.assert_serves(instance)
+        os.close(reading)
+        time.sleep(LOG_TIME_S)
+        reading = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+        self.addCleanup(os.close, reading)
+        instance.process.send_signal(signal.SIGHUP)
+        text = ""
+
+        def reload_is_logged():
+            nonlocal text
+            try:
+                text += os.read(reading, 1 << 20).decode(errors="replace")
+            except BlockingIOError:
+                pass  # Nothing has been written yet.
+            return "event=reload" in text
+
+        self.wait(reload_is_logged, "the log line of the reload")
+        self.assert_stops(instance)
+
+    # Guards against connections that get the numbers of closed standard descriptors, so that log
+    # lines are sent to clients.
+    def test_closed_standard_descriptors_are_not_used_for_connections(self):
+        instance = self.prepare()
+
+        def close_standard_descriptors():
+            for descriptor in range(3):
+                os.close(descriptor)
+
+        self.start(instance, preexec_fn=close_standard_descriptors)
+        self.assert_serves(instance)
+        for descriptor in range(3):
+            target = os.readlink(f"/proc/{instance.process.pid}/fd/{descriptor}")
+            self.assertEqual(target, "/dev/null")
+        self.assert_stops(instance)
+
+
 class MemoryTest(LifetimeTest):
     # Guards against input that stays in memory after it was handled, when a client sends statements
     # without waiting for the answers.
--- a/tools/oriole_site/site.py
+++ b/tools/oriole_site/site.py
@@ -145,10 +145,15 @@
         server.process = self._spawn(server.name, command + extra)
         server.process.wait_for_port(server.control_port)
 
-    def start_instance(self, instance):
+    def write_settings(self, instance):
+        """Writes the instance's settings file; returns its path."""
         path = os.path.join(self._dir, f"{instance.name}.yaml")
         with open(path, "w", encoding="utf-8") as settings:
             settings.write(self._settings_text(instance))
+        return path
+
+    def start_instance(self, instance):
+        path = self.write_settings(instance)
         instance.process = self._spawn(instance.name, ["oriolethread", "--settings", path])
         instance.process.wait_for_port(instance.admin_port)
 
