Handle stop signals from the first moment on

What callers saw: a planned stop or a hang-up in the first moments after a start ended the process by the signal (status -15, -2, -1), which counts as a process that ended by itself (FAULT). Seen up to 12 ms after the start.

Cause: the handlers were installed when the control thread was constructed, after the start of the logger and the reading of the settings. In the HTTP front end SIGHUP had no handler at all.

main() now holds the three signals back first; they are delivered once the handlers are there. Threads inherit the mask, so only the control thread gets them. What remains is the time before main(), in which the program is loaded.

--- a/src/app/internal/entry_instance.cpp
+++ b/src/app/internal/entry_instance.cpp
@@ -9,6 +9,7 @@
 #include "app/internal/instance_shares.h"
 #include "app/internal/site_config_codec.h"
 #include "app/internal/status_report.h"
+#include "base/process_setup.h"
 #include "links/admin_server.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -81,7 +82,7 @@
           m_database_report_exchange(
               m_io.get_executor(), m_self.id(), *m_peers, *m_peer_server,
               m_control.databases(), [this]() -> const auto& { return m_control.instances(); }),
-          m_signals(m_io, SIGTERM, SIGINT) {
+          m_signals(m_io, SIGTERM, SIGINT, SIGHUP) {
         m_control.connect(*m_fleet, *m_callers, m_shares, m_usage);
     }
 
@@ -98,6 +99,7 @@
         asio::co_spawn(m_io, stop_on_signal(), asio::detached);
         LOG(INFO) << "instance started instance=" << m_self.id() << " zone=" << m_self.zone()
                   << " caller=" << m_settings.caller().str();
+        const stop_signal_delivery delivery;
         m_io.run();
         m_control.stop();
         LOG(INFO) << "instance stopped instance=" << m_self.id();
@@ -115,8 +117,10 @@
 
 private:
     [[nodiscard]] asio::awaitable<void> stop_on_signal() {
-        boost::system::error_code error;
-        co_await m_signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        while (co_await m_signals.async_wait(asio::use_awaitable) == SIGHUP) {
+            LOG(INFO) << "settings are read at the start only; SIGHUP has no effect instance="
+                      << m_self.id();
+        }
         m_leaving = true;
         LOG(INFO) << "graceful shutdown started instance=" << m_self.id();
         co_await m_fleet->announce_leaving();
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -81,6 +81,7 @@
 
 int main(int argc, char** argv) {
     oriole::prepare_process();
+    oriole::hold_stop_signals();
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     const auto known_options = describe_options();
--- a/src/base/process_setup.h
+++ b/src/base/process_setup.h
@@ -8,4 +8,20 @@
 /// starts.
 void prepare_process();
 
+/// Holds back SIGTERM, SIGINT and SIGHUP from the calling thread and from the threads that it
+/// starts later. A signal that arrives meanwhile stays pending.
+void hold_stop_signals();
+
+/// While an object exists, the thread that constructed it gets the signals that
+/// hold_stop_signals() holds back, the pending ones first. Precondition: their handlers are
+/// installed.
+class stop_signal_delivery {
+public:
+    stop_signal_delivery();
+    ~stop_signal_delivery();
+
+    stop_signal_delivery(const stop_signal_delivery&) = delete;
+    stop_signal_delivery& operator=(const stop_signal_delivery&) = delete;
+};
+
 } // namespace oriole
--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/internal/control_thread.h"
 
+#include "base/process_setup.h"
 #include "base/random_source.h"
 #include "entry/internal/pause.h"
 
@@ -89,6 +90,7 @@
                     .add("version", ORIOLE_VERSION));
     m_admin->start();
     m_traffic.start();
+    const stop_signal_delivery delivery;
     start_followers();
     asio::co_spawn(m_io, maintain_registration(), asio::detached);
     if (m_fleet.leases_needed()) {
--- a/tests/process/http_lifetime_test.py
+++ b/tests/process/http_lifetime_test.py
@@ -65,10 +65,32 @@
         os.close(writing)
         self.assert_runs()
         os.close(reading)
+        # Each request to stop is logged.
+        self.process.send_signal(signal.SIGHUP)
         time.sleep(LOG_TIME_S)
         self.assert_runs()
         self.assert_stops()
 
+    # Guards against signals that end the process with a failure, because they arrive before the
+    # handlers are installed, and against SIGHUP ending it at all.
+    def test_signals_in_the_first_moments_are_handled(self):
+        with open(self.settings, encoding="utf-8") as file:
+            text = file.read()
+        os.remove(self.settings)
+        os.mkfifo(self.settings)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number):
+                self.start()
+                # Waits until the program opens its settings, after the start of main().
+                with open(self.settings, "w", encoding="utf-8") as pipe:
+                    self.process.send_signal(number)
+                    pipe.write(text)
+                if number == signal.SIGHUP:
+                    self.assert_runs()
+                    self.assert_stops()
+                else:
+                    self.assertEqual(self.process.wait(timeout=EXIT_LIMIT_S), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/process/process_lifetime_test.py
+++ b/tests/process/process_lifetime_test.py
@@ -109,6 +109,49 @@
         self.assert_stops(instance)
 
 
+class SignalTest(LifetimeTest):
+    def start_and_signal(self, number):
+        """Starts an instance and sends it the signal while it reads its settings."""
+        instance = self.prepare()
+        settings = instance.command[-1]
+        with open(settings, encoding="utf-8") as file:
+            text = file.read()
+        os.remove(settings)
+        os.mkfifo(settings)
+        with open(instance.log_path, "w", encoding="utf-8") as log:
+            self.start(instance, stdout=log, stderr=log)
+        # Waits until the program opens its settings, after the start of main().
+        with open(settings, "w", encoding="utf-8") as pipe:
+            instance.process.send_signal(number)
+            pipe.write(text)
+        return instance
+
+    # Guards against a signal that ends the process with a failure, because it arrives before the
+    # handlers are installed.
+    def test_stop_in_the_first_moments_ends_with_success(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number):
+                instance = self.start_and_signal(number)
+                self.assertEqual(instance.process.wait(timeout=EXIT_LIMIT_S), 0)
+
+    def test_hangup_in_the_first_moments_is_no_stop(self):
+        instance = self.start_and_signal(signal.SIGHUP)
+        self.assert_serves(instance)
+        self.assert_stops(instance)
+
+    # Guards against a second signal that cuts the planned stop short.
+    def test_repeated_stop_ends_with_success(self):
+        instance = self.prepare()
+        with open(instance.log_path, "w", encoding="utf-8") as log:
+            self.start(instance, stdout=log, stderr=log)
+        self.assert_serves(instance)
+        for _ in range(3):
+            instance.terminate()
+            time.sleep(0.2)
+        instance.process.send_signal(signal.SIGHUP)
+        self.assertEqual(instance.process.wait(timeout=EXIT_LIMIT_S), 0)
+
+
 class MemoryTest(LifetimeTest):
     # Guards against input that stays in memory after it was handled, when a client sends statements
     # without waiting for the answers.
