Wait for a listening address that is in use

A port that is taken for a moment, by an outgoing connection of another process or by the former process that has yet to end, ended the start with status 1 at once. The message, "bind: Address already in use", named neither the address nor what it is for.

Cause: each of the four listeners bound its address once and threw what the system said.

All listeners now use links::listen(), which names address and role and tells an address in use from other failures. Other failures, such as an address that is not this machine's, still end the start.

--- a/src/app/internal/entry_instance.cpp
+++ b/src/app/internal/entry_instance.cpp
@@ -63,7 +63,7 @@
           m_connector(links::make_tcp_backend_connector()),
           m_platform(links::make_http_platform_link(m_settings.platform())),
           m_peers(links::make_peer_link(m_io.get_executor(), {m_settings.peer_secret()})),
-          m_peer_server(links::make_peer_server(m_io.get_executor(), m_settings.peer(),
+          m_peer_server(links::make_peer_server(m_io.get_executor(), m_settings.peer(), "peer",
                                                 {m_settings.peer_secret()})),
           m_control(m_io.get_executor(), m_self, m_settings.traffic_threads(), *m_connector,
                     m_metrics),
@@ -87,9 +87,9 @@
     }
 
     void run() override {
-        m_control.traffic().start();
         m_callers->start();
         m_admin->start();
+        m_control.traffic().start();
         m_fleet->start();
         asio::co_spawn(m_io, m_control.run(), asio::detached);
         asio::co_spawn(m_io, m_database_report_exchange.run(), asio::detached);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 #include "app/entry_instance.h"
 #include "app/settings_reader.h"
 #include "base/process_setup.h"
+#include "links/listening_socket.h"
 
 #include <boost/program_options.hpp>
 #include <glog/logging.h>
@@ -73,7 +74,8 @@
         std::cout << "settings are good\n";
         return exit_ok;
     }
-    oriole::app::make_entry_instance(*settings)->run();
+    oriole::links::serve_when_addresses_are_free(
+        [&settings] { oriole::app::make_entry_instance(*settings)->run(); });
     return exit_ok;
 }
 
--- a/src/app/tests/fleet_supervisor_test.cpp
+++ b/src/app/tests/fleet_supervisor_test.cpp
@@ -52,7 +52,7 @@
     void start_member(const std::string& id, const std::string& zone) {
         auto added = std::make_unique<member>();
         const auto executor = m_io.get_executor();
-        added->server = links::make_peer_server(executor, {"127.0.0.1", 0}, {"secret"});
+        added->server = links::make_peer_server(executor, {"127.0.0.1", 0}, "peer", {"secret"});
         added->peers = links::make_peer_link(executor, {"secret"});
         added->platform = links::make_http_platform_link(m_platform->address());
         added->random = make_random_source(m_members.size() + 1);
--- a/src/entry/caller_channel.h
+++ b/src/entry/caller_channel.h
@@ -72,7 +72,7 @@
 
     virtual ~caller_listener() = default;
 
-    /// Throws boost::system::system_error when the address cannot be bound.
+    /// Throws links::listen_failed.
     virtual void start(handler on_caller) = 0;
 
     virtual void stop() = 0;
--- a/src/entry/entry_instance.h
+++ b/src/entry/entry_instance.h
@@ -37,8 +37,8 @@
 public:
     virtual ~entry_instance() = default;
 
-    /// Serves sessions and blocks until SIGTERM or SIGINT. Throws when an address in the settings
-    /// cannot be bound.
+    /// Serves sessions and blocks until SIGTERM or SIGINT. Throws links::listen_failed when it
+    /// cannot listen on an address in the settings; nothing has been started then.
     virtual void run() = 0;
 };
 
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -19,7 +19,7 @@
 /// thread-safe; runs on the traffic thread.
 class gateway_service {
 public:
-    /// Starts to listen. Throws boost::system::system_error when the address cannot be bound.
+    /// Starts to listen. Throws links::listen_failed.
     gateway_service(boost::asio::any_io_executor executor, const endpoint& listen,
                     traffic_context& context);
 
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -34,7 +34,7 @@
       m_fleet(fleet),
       m_log(log),
       m_link(links::make_peer_link(m_executor, fleet_secret())),
-      m_server(links::make_peer_server(m_executor, listen, fleet_secret())),
+      m_server(links::make_peer_server(m_executor, listen, "peers", fleet_secret())),
       m_apply_orders(std::move(apply_orders)) {
     m_server->add_method(report_method,
                          [this](std::string text) { return answer(std::move(text)); });
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -33,7 +33,7 @@
     traffic_thread(const traffic_thread&) = delete;
     traffic_thread& operator=(const traffic_thread&) = delete;
 
-    /// Throws boost::system::system_error when `settings.callers` cannot be bound.
+    /// Throws links::listen_failed when it cannot listen on `settings.callers`.
     void start();
 
     void apply(std::shared_ptr<const fleet::fleet_view> view);
--- a/src/links/admin_server.h
+++ b/src/links/admin_server.h
@@ -31,7 +31,7 @@
 public:
     virtual ~admin_server() = default;
 
-    /// Throws boost::system::system_error when the address cannot be bound.
+    /// Throws listen_failed.
     virtual void start() = 0;
 
     virtual void stop() = 0;
--- a/src/links/caller_server.h
+++ b/src/links/caller_server.h
@@ -61,7 +61,7 @@
 public:
     virtual ~caller_server() = default;
 
-    /// Starts to accept. Throws boost::system::system_error when the address cannot be bound.
+    /// Starts to accept. Throws listen_failed.
     virtual void start() = 0;
 
     /// Stops accepting connections; each open connection is closed after its next answer.
--- a/src/links/internal/http_admin_server.cpp
+++ b/src/links/internal/http_admin_server.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "links/admin_server.h"
+#include "links/listening_socket.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,6 +22,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// The setting with the address of this server.
+constexpr const char* listen_role = "admin";
 constexpr std::chrono::seconds exchange_timeout{10};
 /// Delay after a failed accept, which would fail again immediately while the process is out of file
 /// descriptors.
@@ -32,15 +35,12 @@
     http_admin_server(asio::any_io_executor executor, const endpoint& listen,
                       const admin_handler& handler)
         : m_executor(std::move(executor)),
-          m_address(asio::ip::make_address(listen.address()), listen.port()),
+          m_address(listen),
           m_acceptor(m_executor),
           m_handler(handler) {}
 
     void start() override {
-        m_acceptor.open(m_address.protocol());
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(m_address);
-        m_acceptor.listen();
+        listen(m_acceptor, m_address, listen_role);
         const auto self = shared_from_this();
         asio::co_spawn(
             m_executor, [self] { return self->accept_loop(); }, asio::detached);
@@ -130,7 +130,7 @@
     }
 
     asio::any_io_executor m_executor;
-    tcp::endpoint m_address;
+    endpoint m_address;
     tcp::acceptor m_acceptor;
     const admin_handler& m_handler;
 };
--- a/src/links/internal/http_caller_server.cpp
+++ b/src/links/internal/http_caller_server.cpp
@@ -3,6 +3,7 @@
 #include "links/caller_server.h"
 
 #include "links/internal/http_caller_connection.h"
+#include "links/listening_socket.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +24,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// The setting with the address of this server.
+constexpr const char* listen_role = "caller";
 constexpr std::chrono::seconds expiry_check_interval{1};
 /// Delay after a failed accept, for example when the process is out of file descriptors. An
 /// immediate retry would fail as well and keep the thread busy.
@@ -88,7 +91,7 @@
 public:
     http_caller_server(const endpoint& listen, std::vector<caller_worker> workers,
                        const caller_limits& limits, metric_registry& metrics)
-        : m_address(asio::ip::make_address(listen.address()), listen.port()),
+        : m_address(listen),
           m_acceptor(workers.front().executor),
           m_state(std::make_shared<caller_server_state>()),
           m_accepted(metrics.get("caller_connections_accepted_total")),
@@ -100,10 +103,7 @@
     }
 
     void start() override {
-        m_acceptor.open(m_address.protocol());
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(m_address);
-        m_acceptor.listen();
+        listen(m_acceptor, m_address, listen_role);
         const auto self = shared_from_this();
         asio::co_spawn(
             m_acceptor.get_executor(), [self] { return self->accept_loop(); }, asio::detached);
@@ -180,7 +180,7 @@
                    });
     }
 
-    tcp::endpoint m_address;
+    endpoint m_address;
     tcp::acceptor m_acceptor;
     std::shared_ptr<caller_server_state> m_state;
     std::vector<std::shared_ptr<worker_connections>> m_workers;
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -2,6 +2,7 @@
 
 #include "links/internal/peer_connection.h"
 #include "links/internal/rpc_server_codec.h"
+#include "links/listening_socket.h"
 
 #include <boost/asio.hpp>
 #include <glog/logging.h>
@@ -39,13 +40,10 @@
 /// it exists until the last of them has ended.
 class peer_acceptor : public std::enable_shared_from_this<peer_acceptor> {
 public:
-    peer_acceptor(asio::any_io_executor executor, const endpoint& listen, const peer_key& key)
+    peer_acceptor(asio::any_io_executor executor, const endpoint& address, std::string_view role,
+                  const peer_key& key)
         : m_executor(std::move(executor)), m_acceptor(m_executor), m_key(key) {
-        const tcp::endpoint local(asio::ip::make_address(listen.address()), listen.port());
-        m_acceptor.open(local.protocol());
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(local);
-        m_acceptor.listen();
+        links::listen(m_acceptor, address, role);
     }
 
     void start() { asio::co_spawn(m_executor, accept_loop(shared_from_this()), asio::detached); }
@@ -176,9 +174,10 @@
 } // namespace
 
 std::unique_ptr<peer_server> make_peer_server(asio::any_io_executor executor,
-                                              const endpoint& listen, const peer_secret& secret) {
-    return std::make_unique<tcp_peer_server>(
-        std::make_shared<peer_acceptor>(std::move(executor), listen, derive_peer_key(secret)));
+                                              const endpoint& listen, std::string_view role,
+                                              const peer_secret& secret) {
+    return std::make_unique<tcp_peer_server>(std::make_shared<peer_acceptor>(
+        std::move(executor), listen, role, derive_peer_key(secret)));
 }
 
 } // namespace oriole::links
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace oriole::links {
 
@@ -79,10 +80,11 @@
 [[nodiscard]] std::unique_ptr<peer_link> make_peer_link(boost::asio::any_io_executor executor,
                                                         const peer_secret& secret);
 
-/// The returned server already listens. Throws boost::system::system_error when the address cannot
-/// be bound.
+/// The returned server already listens. `role` is what the address is for, as in the settings.
+/// Throws listen_failed.
 [[nodiscard]] std::unique_ptr<peer_server> make_peer_server(boost::asio::any_io_executor executor,
                                                             const endpoint& listen,
+                                                            std::string_view role,
                                                             const peer_secret& secret);
 
 } // namespace oriole::links
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -15,7 +15,7 @@
 class tcp_peer_link_test : public testing::Test {
 protected:
     tcp_peer_link_test()
-        : m_server(make_peer_server(m_io.get_executor(), {"127.0.0.1", 0}, {"secret"})),
+        : m_server(make_peer_server(m_io.get_executor(), {"127.0.0.1", 0}, "peer", {"secret"})),
           m_link(make_peer_link(m_io.get_executor(), {"secret"})),
           m_unauthorized_link(make_peer_link(m_io.get_executor(), {"other"})) {
         m_server->add_method("echo", [this](std::string params) -> awaitable<std::string> {
@@ -111,7 +111,7 @@
     m_server.reset();
     m_io.restart();
     m_io.poll();
-    m_server = make_peer_server(m_io.get_executor(), address, {"secret"});
+    m_server = make_peer_server(m_io.get_executor(), address, "peer", {"secret"});
     m_server->add_method("echo",
                          [](std::string params) -> awaitable<std::string> { co_return params; });
     EXPECT_EQ(call(*m_link, "echo", "{}"), "{}");
--- a/tests/process/http_lifetime_test.py
+++ b/tests/process/http_lifetime_test.py
@@ -71,6 +71,22 @@
         self.assert_runs()
         self.assert_stops()
 
+    # Guards against a start that fails for good because a port is in use for a moment.
+    def test_instance_starts_when_its_address_is_free_again(self):
+        for role in ("caller", "admin", "peer"):
+            with self.subTest(role), socket.socket() as taken:
+                port = getattr(self.instance, f"{role}_port")
+                taken.bind((LOOPBACK, port))
+                taken.listen()
+                self.start()
+                time.sleep(TAKEN_S)
+                self.assertIsNone(self.process.poll())
+                taken.close()
+                self.assert_runs()
+                with open(self.log_path, encoding="utf-8") as log:
+                    self.assertRegex(log.read(), f"{re.escape(address(port))}.*{role}.*in use")
+                self.assert_stops()
+
     # Guards against signals that end the process with a failure, because they arrive before the
     # handlers are installed, and against SIGHUP ending it at all.
     def test_signals_in_the_first_moments_are_handled(self):
--- a/tests/process/process_lifetime_test.py
+++ b/tests/process/process_lifetime_test.py
@@ -109,6 +109,59 @@
         self.assert_stops(instance)
 
 
+class AddressTest(LifetimeTest):
+    ports = {"callers": "caller_port", "admin": "admin_port", "peers": "peer_port",
+             "gateway": "gateway_port"}
+
+    def take(self, port):
+        taken = socket.socket()
+        self.addCleanup(taken.close)
+        taken.bind((LOOPBACK, port))
+        taken.listen()
+        return taken
+
+    def start_with_log(self, instance):
+        with open(instance.log_path, "w", encoding="utf-8") as log:
+            self.start(instance, stdout=log, stderr=log)
+
+    # Guards against a start that fails for good because a port is in use for a moment, by an outgoing
+    # connection or by the former process, and against a message that does not say which.
+    def test_instance_starts_when_its_address_is_free_again(self):
+        for role, name in self.ports.items():
+            with self.subTest(role):
+                instance = self.prepare()
+                taken = self.take(getattr(instance, name))
+                self.start_with_log(instance)
+                time.sleep(TAKEN_S)
+                self.assertIsNone(instance.process.poll())
+                taken.close()
+                self.assert_serves(instance)
+                address = f"{LOOPBACK}:{getattr(instance, name)}"
+                self.assertRegex(instance.log(), f"{re.escape(address)}.*{role}.*in use")
+                self.assert_stops(instance)
+
+    # Guards against a process that waits for an address and cannot be stopped, or that reports a
+    # failure when it is.
+    def test_instance_that_waits_for_its_address_stops_at_once(self):
+        instance = self.prepare()
+        self.take(instance.gateway_port)
+        self.start_with_log(instance)
+        time.sleep(TAKEN_S)
+        instance.process.send_signal(signal.SIGHUP)
+        self.assert_stops(instance)
+
+    # Guards against a wait without end for an address that this machine does not have.
+    def test_address_of_another_machine_ends_the_start_with_a_message(self):
+        instance = self.prepare()
+        with open(instance.command[-1], encoding="utf-8") as settings:
+            text = settings.read()
+        with open(instance.command[-1], "w", encoding="utf-8") as settings:
+            settings.write(re.sub(r"admin: \S+", "admin: 192.0.2.1:8080", text))
+        self.start_with_log(instance)
+        self.assertEqual(instance.process.wait(timeout=EXIT_LIMIT_S), 1)
+        self.assertRegex(instance.log(), r"192\.0\.2\.1:8080 \(admin\)")
+
+
 class SignalTest(LifetimeTest):
     def start_and_signal(self, number):
         """Starts an instance and sends it the signal while it reads its settings."""
