Let one unexpected error end neither the process nor a task

By reading, an exception that is not of the expected type ended the process when it came from a session, and ended the task silently when it came from a background task: an instance would have gone on without its registration, its reports or its log. No input that leads there is known.

Sessions now end alone, with a log line. Tasks that are to run as long as the process log the failure and start again; the two event loops log a handler that throws and run on. An exchange of reports or a change of primary that fails unexpectedly no longer blocks the next one to the same instance or service.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -23,15 +23,21 @@
             co_await serve_statements();
         }
     } catch (const caller_lost& lost) {
-        m_context.log().write(log_entry("caller_lost")
-                                  .add("database", m_database)
-                                  .add("account", m_account.str())
-                                  .add("reason", lost.what()));
+        log_end("caller_lost", lost.what());
+    } catch (const std::exception& unexpected) {
+        log_end("session_failed", unexpected.what());
     }
     end_transaction();
     m_channel->close();
 }
 
+void caller_service::log_end(std::string_view event, std::string_view reason) {
+    m_context.log().write(log_entry(event)
+                              .add("database", m_database)
+                              .add("account", m_account.str())
+                              .add("reason", reason));
+}
+
 asio::awaitable<bool> caller_service::open() {
     const auto request = co_await m_channel->accept();
     if (!request) {
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -50,6 +50,7 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::statement>> next_statement();
     [[nodiscard]] boost::asio::awaitable<void> reply(sessions::server_answer answer);
     [[nodiscard]] sessions::answer_code check_permission();
+    void log_end(std::string_view event, std::string_view reason);
     void end_transaction();
     void record_outcome(const statement_run& run, const run_outcome& outcome);
 
--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -92,14 +92,14 @@
     m_traffic.start();
     const stop_signal_delivery delivery;
     start_followers();
-    asio::co_spawn(m_io, maintain_registration(), asio::detached);
+    run_in_background("registration", [this] { return maintain_registration(); });
     if (m_fleet.leases_needed()) {
-        asio::co_spawn(m_io, read_orders(), asio::detached);
+        run_in_background("promotion_orders", [this] { return read_orders(); });
     }
-    asio::co_spawn(m_io, m_peers.run(), asio::detached);
-    asio::co_spawn(m_io, flush_log(), asio::detached);
-    asio::co_spawn(m_io, wait_for_signals(), asio::detached);
-    m_io.run();
+    run_in_background("peer_reports", [this] { return m_peers.run(); });
+    run_in_background("log", [this] { return flush_log(); });
+    run_in_background("signals", [this] { return wait_for_signals(); });
+    run_event_loop(m_io, m_log, "control_thread");
     m_log.write(log_entry("stop").add("instance", m_own.id.str()));
     m_log.flush();
 }
@@ -109,6 +109,10 @@
     return m_metrics.exposition();
 }
 
+void control_thread::run_in_background(std::string name, task work) {
+    run_task(m_io.get_executor(), m_log, std::move(name), std::move(work));
+}
+
 template <class Value>
 void control_thread::follow(object_collection<Value>& kind, const std::string& name,
                             typename store_follower<Value>::page_handler on_page) {
@@ -116,13 +120,7 @@
         m_io.get_executor(), kind, name, m_log, std::move(on_page),
         [this](bool reachable) { on_store_health(reachable); },
         [this] { return m_fleet.watches_store(steady_clock().now()); });
-    asio::co_spawn(
-        m_io, [follower] { return follower->run(); },
-        [follower](const std::exception_ptr& failure) {
-            if (failure) {
-                std::rethrow_exception(failure);
-            }
-        });
+    run_in_background("store_" + name, [follower] { return follower->run(); });
 }
 
 void control_thread::start_followers() {
@@ -254,8 +252,9 @@
     m_log.write(log_entry("stop_requested").add("signal", signal));
     m_leaving = true;
     publish();
-    m_traffic.leave(
-        [this] { asio::post(m_io, [this] { asio::co_spawn(m_io, leave(), asio::detached); }); });
+    m_traffic.leave([this] {
+        asio::post(m_io, [this] { run_in_background("leaving", [this] { return leave(); }); });
+    });
 }
 
 asio::awaitable<void> control_thread::leave() {
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "entry/entry_instance.h"
+#include "entry/internal/background_task.h"
 #include "entry/internal/fleet_state.h"
 #include "entry/internal/peer_exchange.h"
 #include "entry/internal/primary_changer.h"
@@ -39,6 +40,8 @@
 
     [[nodiscard]] std::string status() const override { return "{}"; }
 
+    void run_in_background(std::string name, task work);
+
     template <class Value>
     void follow(object_collection<Value>& kind, const std::string& name,
                 typename store_follower<Value>::page_handler on_page);
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -117,7 +117,7 @@
     } catch (const links::peer_not_running& failure) {
         set_reachable(peer.id, false, failure.what());
         m_fleet.mark_refused(peer.id, peer.incarnation, steady_clock().now());
-    } catch (const error& failure) {
+    } catch (const std::exception& failure) {
         set_reachable(peer.id, false, failure.what());
     }
     co_return answer;
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -65,7 +65,7 @@
     std::string failure;
     try {
         co_await perform_change(service, std::move(change));
-    } catch (const store_unavailable& unavailable) {
+    } catch (const std::exception& unavailable) {
         failure = unavailable.what();
     }
     if (!failure.empty()) {
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -3,7 +3,6 @@
 #include "entry/internal/traffic_thread.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,6 +35,7 @@
                                decision_log& log, metric_registry& metrics,
                                report_handler on_report)
     : m_settings(settings),
+      m_log(log),
       m_work(m_io.get_executor()),
       m_context(m_io.get_executor(), platform.connector(), settings, log, metrics),
       m_gateway(m_io.get_executor(), settings.gateway, m_context),
@@ -53,9 +53,9 @@
 void traffic_thread::start() {
     m_listener->start(
         [this](std::shared_ptr<caller_channel> channel) { serve(std::move(channel)); });
-    asio::co_spawn(m_io, report_regularly(), asio::detached);
-    asio::co_spawn(m_io, m_gateway.end_idle_transactions(), asio::detached);
-    m_thread = std::thread([this] { m_io.run(); });
+    run_in_background("traffic_report", [this] { return report_regularly(); });
+    run_in_background("idle_transactions", [this] { return m_gateway.end_idle_transactions(); });
+    m_thread = std::thread([this] { run_event_loop(m_io, m_log, "traffic_thread"); });
 }
 
 void traffic_thread::apply(std::shared_ptr<const fleet::fleet_view> view) {
@@ -82,17 +82,22 @@
     asio::post(m_io, [this, isolated] {
         m_isolated = isolated;
         if (isolated) {
-            asio::co_spawn(m_io, close_idle_while_isolated(), asio::detached);
+            run_in_background("isolation", [this] { return close_idle_while_isolated(); });
         }
     });
 }
 
 void traffic_thread::leave(std::function<void()> on_end) {
     asio::post(m_io, [this, done = std::move(on_end)]() mutable {
-        asio::co_spawn(m_io, close_sessions(std::move(done)), asio::detached);
+        run_in_background("closing_sessions",
+                          [this, moved = std::move(done)] { return close_sessions(moved); });
     });
 }
 
+void traffic_thread::run_in_background(std::string name, task work) {
+    run_task(m_io.get_executor(), m_log, std::move(name), std::move(work));
+}
+
 void traffic_thread::serve(std::shared_ptr<caller_channel> channel) {
     auto session = std::make_shared<caller_service>(m_context, std::move(channel));
     const auto position = m_sessions.insert(m_sessions.end(), session);
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "entry/entry_instance.h"
+#include "entry/internal/background_task.h"
 #include "entry/internal/caller_service.h"
 #include "entry/internal/gateway_service.h"
 #include "entry/internal/traffic_context.h"
@@ -57,6 +58,7 @@
 private:
     using session_list = std::list<std::weak_ptr<caller_service>>;
 
+    void run_in_background(std::string name, task work);
     void serve(std::shared_ptr<caller_channel> channel);
     [[nodiscard]] boost::asio::awaitable<void> report_regularly();
     [[nodiscard]] boost::asio::awaitable<void> close_sessions(std::function<void()> on_end);
@@ -69,6 +71,7 @@
     [[nodiscard]] std::vector<std::shared_ptr<caller_service>> open_sessions();
 
     entry_settings m_settings;
+    decision_log& m_log;
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     traffic_context m_context;
--- /dev/null
+++ b/src/entry/tests/caller_service_test.cpp
@@ -0,0 +1,111 @@
+#include "fake_servers.h"
+
+#include "entry/internal/caller_service.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <deque>
+#include <stdexcept>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+using sessions::answer_code;
+
+/// A client that sends its statements one after the other, or with the next one on the way while
+/// the last is answered.
+class fake_caller final : public caller_channel {
+public:
+    boost::asio::awaitable<std::optional<session_request>> accept() override {
+        co_return session_request{"newest", "key"};
+    }
+
+    boost::asio::awaitable<bool> wait_for_input(clock::duration) override { co_return true; }
+
+    boost::asio::awaitable<std::optional<sessions::statement>> next() override {
+        if (fails) {
+            throw std::runtime_error("planted");
+        }
+        if (statements.empty()) {
+            co_return std::nullopt;
+        }
+        auto statement = statements.front();
+        statements.pop_front();
+        ++taken;
+        co_return statement;
+    }
+
+    boost::asio::awaitable<void> confirm_session() override { co_return; }
+
+    boost::asio::awaitable<void> refuse(answer_code) override { co_return; }
+
+    boost::asio::awaitable<void> answer(sessions::server_answer) override {
+        ++answers;
+        co_return;
+    }
+
+    bool has_input() override { return pipelined && !statements.empty(); }
+
+    void close() noexcept override { closed = true; }
+
+    std::deque<sessions::statement> statements;
+    bool pipelined = false;
+    bool fails = false;
+    int taken = 0;
+    int answers = 0;
+    bool closed = false;
+};
+
+class caller_service_test : public testing::Test {
+protected:
+    caller_service_test() {
+        auto config = std::make_shared<fleet::configuration>();
+        config->routes["newest"].service = service_name("db");
+        config->routes["newest"].open_to_all = true;
+        auto view = std::make_shared<fleet::fleet_view>();
+        view->config = config;
+        view->accounts_by_key = std::make_shared<fleet::key_index>();
+        m_context.apply(view);
+    }
+
+    static sessions::statement make(sessions::statement_kind kind) {
+        sessions::statement statement;
+        statement.id = "1";
+        statement.kind = kind;
+        return statement;
+    }
+
+    void send(std::initializer_list<sessions::statement_kind> kinds) {
+        for (const auto kind : kinds) {
+            m_caller->statements.push_back(make(kind));
+        }
+    }
+
+    void serve() { static_cast<void>(run_coroutine(m_io, serve_session(m_session))); }
+
+    static boost::asio::awaitable<bool> serve_session(std::shared_ptr<caller_service> session) {
+        co_await session->serve();
+        co_return true;
+    }
+
+    boost::asio::io_context m_io;
+    fake_servers m_servers;
+    std::unique_ptr<decision_log> m_log = make_decision_log(::dup(STDERR_FILENO));
+    metric_registry m_metrics;
+    traffic_context m_context{m_io.get_executor(), m_servers, {}, *m_log, m_metrics};
+    std::shared_ptr<fake_caller> m_caller = std::make_shared<fake_caller>();
+    std::shared_ptr<caller_service> m_session =
+        std::make_shared<caller_service>(m_context, m_caller);
+};
+
+// Guards against an unexpected error of one session that ends the process.
+TEST_F(caller_service_test, unexpected_error_ends_the_session_only) {
+    m_caller->fails = true;
+    EXPECT_NO_THROW(serve());
+    EXPECT_TRUE(m_caller->closed);
+}
+
+} // namespace
+} // namespace oriole::entry
