End a session together with its last answer in a planned stop

A write or a COMMIT that is cut off cannot be repeated.

Cause: the end of the stream came a moment after the answer, or at any moment between two statements that looked idle; a client's next statement crossed it.

The last answer and the end of the stream now leave in one segment; statements that have arrived are answered first; the connection is closed when the client has closed it, or 200 ms later, so that a reset cannot take the answer along. A session is closed without an answer only 300 ms after its last one. From half of the grace time on the process accepts no connections, since a session that starts then might not end in time.

--- a/src/entry/caller_channel.h
+++ b/src/entry/caller_channel.h
@@ -59,6 +59,11 @@
     /// Sends the complete answer to one statement.
     [[nodiscard]] virtual boost::asio::awaitable<void> answer(sessions::server_answer answer) = 0;
 
+    /// Sends the complete answer to one statement and ends the stream with it, so that a client
+    /// that has read the answer can see that no other will follow.
+    [[nodiscard]] virtual boost::asio::awaitable<void>
+    answer_and_end(sessions::server_answer answer) = 0;
+
     /// Returns whether unread bytes of a further statement have arrived.
     [[nodiscard]] virtual bool has_input() = 0;
 
--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -6,10 +6,17 @@
 namespace {
 
 namespace asio = boost::asio;
+using namespace std::chrono_literals;
 using sessions::answer_code;
 using sessions::session_step;
 using sessions::transaction_state;
 
+/// Time after an answer in which the client may be sending its next statement: a close would meet
+/// it on the way, and the client could not tell whether it has run.
+constexpr clock::duration quiet_time = 300ms;
+/// Time for a client to close its connection after the last answer.
+constexpr clock::duration client_close_time = 200ms;
+
 std::string format_position(const machines::log_position& position) {
     return std::to_string(position.term()) + "." + std::to_string(position.offset());
 }
@@ -59,6 +66,7 @@
     m_account = grant.account;
     m_route = *grant.route;
     co_await m_channel->confirm_session();
+    m_answered_at = steady_clock().now();
     co_return true;
 }
 
@@ -67,26 +75,26 @@
         m_statement_running = true;
         const bool open = co_await handle(std::move(*statement));
         m_statement_running = false;
-        if (!open || (m_closing && m_session.state() == transaction_state::none)) {
+        m_answered_at = steady_clock().now();
+        if (!open) {
+            // Closing a connection with unread input resets it, and the answer may be lost.
+            static_cast<void>(co_await m_channel->wait_for_input(client_close_time));
             co_return;
         }
     }
 }
 
-bool caller_service::idle() const {
-    return !m_statement_running && m_session.state() == transaction_state::none &&
-           !m_channel->has_input();
+bool caller_service::close_if_quiet(clock::time_point now) {
+    const bool quiet = !m_statement_running && m_session.state() == transaction_state::none &&
+                       !m_channel->has_input() && now - m_answered_at >= quiet_time;
+    if (quiet) {
+        m_channel->close();
+    }
+    return quiet;
 }
 
-void caller_service::close() {
-    m_channel->close();
-}
-
-void caller_service::close_when_idle() {
-    m_closing = true;
-    if (idle()) {
-        close();
-    }
+bool caller_service::ends_with_next_answer() const {
+    return m_ending && m_session.state() == transaction_state::none && !m_channel->has_input();
 }
 
 void caller_service::abort_transaction() {
@@ -125,7 +133,7 @@
                                   .add("reason", to_string(permitted)));
         sessions::server_answer answer;
         answer.code = permitted;
-        co_await reply(std::move(answer));
+        co_await reply(std::move(answer), true);
         co_return false;
     }
     statement_run run;
@@ -138,8 +146,9 @@
     run_outcome outcome = co_await this->run(run);
     outcome.answer.state = m_session.state();
     record_outcome(run, outcome);
-    co_await reply(std::move(outcome.answer));
-    co_return true;
+    const bool is_last = ends_with_next_answer();
+    co_await reply(std::move(outcome.answer), is_last);
+    co_return !is_last;
 }
 
 answer_code caller_service::check_permission() {
@@ -225,8 +234,12 @@
     co_return outcome;
 }
 
-asio::awaitable<void> caller_service::reply(sessions::server_answer answer) {
-    co_await m_channel->answer(std::move(answer));
+asio::awaitable<void> caller_service::reply(sessions::server_answer answer, bool is_last) {
+    if (is_last) {
+        co_await m_channel->answer_and_end(std::move(answer));
+    } else {
+        co_await m_channel->answer(std::move(answer));
+    }
 }
 
 void caller_service::end_transaction() {
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -24,18 +24,18 @@
     /// Serves the client until it disconnects or the session is closed.
     [[nodiscard]] boost::asio::awaitable<void> serve();
 
-    /// Returns whether no statement is running, no transaction is open and no input is pending. An
-    /// idle session can be closed without failing a request; the client only has to reconnect.
-    [[nodiscard]] bool idle() const;
+    /// Closes the session if it is quiet: no statement is running, no transaction is open, no input
+    /// is pending, and the last answer was not sent a moment ago. The client of a quiet session
+    /// only has to reconnect; one that has just been answered may be sending its next statement.
+    /// Returns whether the session is closed.
+    bool close_if_quiet(clock::time_point now);
 
-    /// Closes the connection at once, even during a statement.
-    void close();
+    /// Returns whether end_soon() was called.
+    [[nodiscard]] bool ending() const noexcept { return m_ending; }
 
-    /// Returns whether close_when_idle() was called.
-    [[nodiscard]] bool closing() const noexcept { return m_closing; }
-
-    /// Closes the session as soon as it is idle: now, or after the answer that ends its operation.
-    void close_when_idle();
+    /// Ends the session with the next answer after which no transaction is open and no input is
+    /// pending.
+    void end_soon() noexcept { m_ending = true; }
 
     /// Rolls back the open transaction if no statement is running; its next statement is answered
     /// with aborted.
@@ -48,7 +48,10 @@
     [[nodiscard]] boost::asio::awaitable<run_outcome> run(statement_run run);
     [[nodiscard]] boost::asio::awaitable<run_outcome> run_in_transaction(statement_run run);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::statement>> next_statement();
-    [[nodiscard]] boost::asio::awaitable<void> reply(sessions::server_answer answer);
+    /// Sends the answer; ends the stream with it if `is_last`.
+    [[nodiscard]] boost::asio::awaitable<void> reply(sessions::server_answer answer, bool is_last);
+    /// Whether the next answer is the last one of the session.
+    [[nodiscard]] bool ends_with_next_answer() const;
     [[nodiscard]] sessions::answer_code check_permission();
     void log_end(std::string_view event, std::string_view reason);
     void end_transaction();
@@ -63,7 +66,9 @@
     sessions::caller_session m_session;
     std::unique_ptr<statement_transaction> m_transaction;
     bool m_statement_running = false;
-    bool m_closing = false;             ///< reads no statement that starts another operation
+    bool m_ending = false; ///< the session ends with an answer after which it is idle
+    /// When the last answer or the confirmation was sent; before that, when the client connected.
+    clock::time_point m_answered_at = steady_clock().now();
     bool m_transaction_aborted = false; ///< the open transaction was rolled back by this instance
 };
 
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -22,10 +22,10 @@
 /// Time until the load balancer sends no more clients: it checks readiness once a second and
 /// removes an instance after two failed checks.
 constexpr clock::duration load_balancer_delay = 2200ms;
-/// Idle sessions are closed in groups, one group per interval, so that the other instances do not
-/// receive all the reconnects at once.
-constexpr clock::duration close_interval = 50ms;
-constexpr int close_groups = 16;
+/// Sessions are ended in groups, one group per interval, so that the other instances do not receive
+/// all the reconnects at once.
+constexpr clock::duration end_interval = 50ms;
+constexpr int end_groups = 16;
 /// Remaining part of the stop grace period at which the sessions are closed even if they are busy.
 constexpr clock::duration forced_close_margin = 400ms;
 
@@ -124,7 +124,7 @@
     const auto started = steady_clock().now();
     m_gateway.leave();
     co_await pause(load_balancer_delay);
-    const std::size_t group = open_sessions().size() / close_groups + 1;
+    const std::size_t group = open_sessions().size() / end_groups + 1;
     while (true) {
         const auto elapsed = steady_clock().now() - started;
         const auto sessions = open_sessions();
@@ -133,13 +133,16 @@
             break;
         }
         if (elapsed > m_settings.stop_grace / 2) {
+            // Without instances in rotation, the load balancer uses this one again. A session that
+            // starts now might not end in time.
+            m_listener->stop();
             for (const auto& session : sessions) {
                 session->abort_transaction();
             }
             m_gateway.abort_transactions();
         }
-        close_next(sessions, group);
-        co_await pause(close_interval);
+        end_next(sessions, group);
+        co_await pause(end_interval);
     }
     m_listener->stop();
     on_end();
@@ -147,29 +150,33 @@
 
 asio::awaitable<void> traffic_thread::close_idle_while_isolated() {
     co_await pause(load_balancer_delay);
-    const std::size_t group = m_sessions.size() / close_groups + 1;
+    const std::size_t group = m_sessions.size() / end_groups + 1;
     while (m_isolated) {
-        close_idle(group);
-        co_await pause(close_interval);
+        close_quiet(group);
+        co_await pause(end_interval);
     }
 }
 
-void traffic_thread::close_next(const std::vector<std::shared_ptr<caller_service>>& sessions,
-                                std::size_t max_sessions) {
-    std::size_t closed = 0;
+void traffic_thread::end_next(const std::vector<std::shared_ptr<caller_service>>& sessions,
+                              std::size_t max_sessions) {
+    const auto now = steady_clock().now();
+    std::size_t told = 0;
     for (const auto& session : sessions) {
-        if (closed < max_sessions && !session->closing()) {
-            session->close_when_idle();
-            ++closed;
+        if (told < max_sessions && !session->ending()) {
+            session->end_soon();
+            ++told;
+        }
+        if (session->ending()) {
+            session->close_if_quiet(now);
         }
     }
 }
 
-void traffic_thread::close_idle(std::size_t max_sessions) {
+void traffic_thread::close_quiet(std::size_t max_sessions) {
+    const auto now = steady_clock().now();
     std::size_t closed = 0;
     for (const auto& session : open_sessions()) {
-        if (closed < max_sessions && session->idle()) {
-            session->close();
+        if (closed < max_sessions && session->close_if_quiet(now)) {
             ++closed;
         }
     }
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -47,11 +47,11 @@
     /// Calls `on_applied` on the traffic thread after everything that was set before.
     void notify_when_applied(std::function<void()> on_applied);
 
-    /// While isolated, idle sessions are closed, once the load balancer no longer sends clients to
+    /// While isolated, quiet sessions are closed, once the load balancer no longer sends clients to
     /// this instance.
     void set_isolated(bool isolated);
 
-    /// Closes the sessions as they become idle, by force only at the end of the stop grace period,
+    /// Ends the sessions after their operations, by force only at the end of the stop grace period,
     /// then calls `on_end` on the traffic thread.
     void leave(std::function<void()> on_end);
 
@@ -63,10 +63,11 @@
     [[nodiscard]] boost::asio::awaitable<void> report_regularly();
     [[nodiscard]] boost::asio::awaitable<void> close_sessions(std::function<void()> on_end);
     [[nodiscard]] boost::asio::awaitable<void> close_idle_while_isolated();
-    /// Lets up to `max_sessions` of the sessions end as soon as they are idle.
-    static void close_next(const std::vector<std::shared_ptr<caller_service>>& sessions,
-                           std::size_t max_sessions);
-    void close_idle(std::size_t max_sessions);
+    /// Tells up to `max_sessions` further sessions to end, and closes those that have been told and
+    /// are quiet.
+    static void end_next(const std::vector<std::shared_ptr<caller_service>>& sessions,
+                         std::size_t max_sessions);
+    void close_quiet(std::size_t max_sessions);
     [[nodiscard]] boost::asio::awaitable<void> pause(clock::duration time);
     [[nodiscard]] std::vector<std::shared_ptr<caller_service>> open_sessions();
 
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -46,6 +46,12 @@
         co_return;
     }
 
+    boost::asio::awaitable<void> answer_and_end(sessions::server_answer) override {
+        ++answers;
+        ended = true;
+        co_return;
+    }
+
     bool has_input() override { return pipelined && !statements.empty(); }
 
     void close() noexcept override { closed = true; }
@@ -55,6 +61,7 @@
     bool fails = false;
     int taken = 0;
     int answers = 0;
+    bool ended = false; ///< the stream ended with the last answer
     bool closed = false;
 };
 
@@ -107,5 +114,51 @@
     EXPECT_TRUE(m_caller->closed);
 }
 
+// Guards against a client that sends its next statement to a session that ends, because the end of
+// the stream comes after the answer.
+TEST_F(caller_service_test, ending_session_ends_its_stream_with_the_answer) {
+    send({sessions::statement_kind::rollback, sessions::statement_kind::rollback});
+    m_session->end_soon();
+    serve();
+    EXPECT_TRUE(m_caller->ended);
+    EXPECT_EQ(m_caller->answers, 1);
+    EXPECT_TRUE(m_caller->closed);
+}
+
+// Guards against a statement that had arrived when the session ended, and gets no answer.
+TEST_F(caller_service_test, ending_session_answers_the_statements_that_have_arrived) {
+    send({sessions::statement_kind::rollback, sessions::statement_kind::rollback});
+    m_caller->pipelined = true;
+    m_session->end_soon();
+    serve();
+    EXPECT_EQ(m_caller->answers, 2);
+    EXPECT_TRUE(m_caller->ended);
+}
+
+// Guards against a session that ends between the statements of a transaction.
+TEST_F(caller_service_test, ending_session_waits_for_the_end_of_its_transaction) {
+    send({sessions::statement_kind::begin, sessions::statement_kind::rollback});
+    m_session->end_soon();
+    serve();
+    EXPECT_EQ(m_caller->answers, 2);
+    EXPECT_TRUE(m_caller->ended);
+}
+
+// Guards against a close that meets the next statement of a client that has just been answered.
+TEST_F(caller_service_test, session_is_not_quiet_just_after_an_answer) {
+    const auto now = steady_clock().now();
+    EXPECT_FALSE(m_session->close_if_quiet(now));
+    EXPECT_FALSE(m_caller->closed);
+    EXPECT_TRUE(m_session->close_if_quiet(now + 1s));
+    EXPECT_TRUE(m_caller->closed);
+}
+
+// Guards against a close that leaves a statement which has arrived without an answer.
+TEST_F(caller_service_test, session_with_input_is_not_quiet) {
+    send({sessions::statement_kind::rollback});
+    m_caller->pipelined = true;
+    EXPECT_FALSE(m_session->close_if_quiet(steady_clock().now() + 1s));
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -77,6 +77,18 @@
                 state, position = rest.split(" ")
                 return Answer(rows, signature, error, state, position)
 
+    def has_ended(self):
+        """Whether the instance has ended the session. Precondition: no request is outstanding."""
+        self.socket.setblocking(False)
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.socket.settimeout(WAIT_S)
+
     def close(self):
         self.input.close()
         self.socket.close()
--- a/tests/process/users_platform_test.py
+++ b/tests/process/users_platform_test.py
@@ -256,6 +256,31 @@
         self.assertGreater(len(served), len(callers))
         self.assertEqual([request for request in unanswered if request in ran], [])
 
+    # Guards against requests that are cut off although the client saw no end of its session before it
+    # sent them, because the end came after the last answer or just when it sent the next statement.
+    def test_planned_stop_cuts_off_no_request_of_clients_that_see_the_end(self):
+        cut_off, served = [], []
+
+        def send_until_the_end():
+            session = self.session("bounded", index=0)
+            while not session.has_ended():
+                try:
+                    served.append(session.run("READ a").error)
+                except OSError:
+                    cut_off.append(session.last_id)
+                    return
+
+        callers = [threading.Thread(target=send_until_the_end) for _ in range(24)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        self.instances[0].terminate()
+        self.assertEqual(self.instances[0].process.wait(timeout=STOP_GRACE_S + 2), 0)
+        for caller in callers:
+            caller.join()
+        self.assertGreater(len(served), len(callers))
+        self.assertEqual(cut_off, [])
+
     # Guards against SIGHUP, sent after a change of the settings file, ending the instance or its
     # sessions.
     def test_hangup_keeps_open_sessions(self):
