Let the fault soak look for processes that end by themselves and cut-off requests

It now finds a process that ends without an order, in all kinds of runs, and a request without a whole answer, unless its instance was killed meanwhile, or it crossed the close of an idle session: did not run, and its connection ended within 200 ms, as the users' rule has it. Callers look for the end of their session before they send.

Output goes through a named pipe and a collector in all kinds of runs.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,11 +4,11 @@
 import threading
 import time
 
-from history import Statement
+from history import Statement, Unanswered
 from platform_fixtures import Session
 
 DATABASES = ("newest", "bounded", "own")
-PAUSE_S = 0.03
+PAUSE_S = 0.03  # average pause between the operations of a session
 OPERATIONS_PER_CALLER = 10**6  # makes operation numbers unique over all callers
 RETRY_PAUSE_S = 0.1
 PROBE = "probe"  # request id of the reads that test whether an instance serves again
@@ -22,8 +22,9 @@
     _last_request = 0
     _last_session = 0
 
-    def __init__(self, site, number, callers, seed):
+    def __init__(self, site, number, callers, seed, pause_s=PAUSE_S):
         super().__init__(daemon=True)
+        self.pause_s = pause_s
         self.site = site
         self.history = site.history
         self.number = number
@@ -43,6 +44,7 @@
 
     def use_session(self):
         instance = self.random.choice(self.site.instances)
+        self.instance = instance.name
         key = self.site.platform.keys[self.account][0]
         self.database = self.random.choice(DATABASES)
         session = Session(instance.callers, self.database, key)
@@ -58,7 +60,7 @@
             for _ in range(self.random.randint(5, 200)):
                 if self.stopped.is_set() or not self.run_operation(session):
                     return
-                time.sleep(self.random.uniform(0, 2 * PAUSE_S))
+                time.sleep(self.random.uniform(0, 2 * self.pause_s))
         finally:
             session.close()
 
@@ -87,31 +89,52 @@
 
     def set_value(self, session):
         name, value = f"v{self.random.randrange(2)}", str(self.random.randrange(3))
-        if session.run(f"SET {name} {value}").error is not None:
+        if self.run_at_instance(session, f"SET {name} {value}").error is not None:
             return False
         self.values[name] = value
         return True
 
     def execute(self, session):
         shape = f"q{self.random.randrange(3)}"
-        if session.run(f"PREPARE s1 READ {shape}").error is not None:
+        if self.run_at_instance(session, f"PREPARE s1 READ {shape}").error is not None:
             return False
         self.shape = shape
         return self.is_usable(self.send(session, "EXECUTE s1 item0"))
 
     def transaction(self, session):
-        if session.run("BEGIN").state != "T":
+        if self.run_at_instance(session, "BEGIN").state != "T":
             return False
         for _ in range(self.random.randint(1, 3)):
             text = self.next_write() if self.random.random() < 0.5 else "READ item0"
             if self.send(session, text, True).error is not None:
-                return session.run("ROLLBACK").state == "I"
+                return self.run_at_instance(session, "ROLLBACK").state == "I"
             time.sleep(self.random.uniform(0, PAUSE_S))
         if self.random.random() < 0.2:
-            return session.run("ROLLBACK").state == "I"
+            return self.run_at_instance(session, "ROLLBACK").state == "I"
         return self.is_usable(self.send(session, "COMMIT", True))
 
+    def run_at_instance(self, session, text):
+        """Sends a statement that the instance answers itself."""
+        self.require_open(session)
+        started = time.monotonic()
+        try:
+            return session.run(text)
+        except (OSError, ValueError):
+            self.add_unanswered(session.last_id, text, started)
+            raise
+
+    @staticmethod
+    def require_open(session):
+        """Sends nothing over a session whose end the caller can see."""
+        if session.has_ended():
+            raise ConnectionError("the instance has ended the session")
+
+    def add_unanswered(self, request, text, started):
+        self.history.add_unanswered(
+            Unanswered(request, self.instance, text, started, time.monotonic()))
+
     def send(self, session, text, in_transaction=False):
+        self.require_open(session)
         with self._numbers:
             Caller._last_request += 1
             request = f"c{Caller._last_request:x}"
@@ -124,6 +147,9 @@
             answer = session.answer()
             error = answer.error
             return answer
+        except (OSError, ValueError):
+            self.add_unanswered(request, text, started)
+            raise
         finally:
             self.history.add_statement(Statement(
                 request, self.session_number, self.account, self.database, text,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import signal
+import subprocess
 import threading
 import time
 
@@ -18,11 +19,14 @@
     """Starts faults chosen by a seeded generator. Each do_ method starts one fault and returns the
     function that ends it, or None when it cannot start."""
 
+    prefix = "do_"  # of the methods among which the generator chooses
+
     def __init__(self, site, random, with_restores=False):
         self.site = site
         self.random = random
         self.with_restores = with_restores
-        self.kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("do_")]
+        self.kinds = [getattr(self, name) for name in sorted(dir(self))
+                      if name.startswith(self.prefix)]
         self.reserved = set()  # targets of active faults; two faults never have the same target
         self.evacuated = set()  # zones that the operator has taken out
         self.lock = threading.Lock()
@@ -42,7 +46,7 @@
         restores = self.with_restores and self.random.random() < RESTORE_SHARE
         kind = self.restore_store if restores else self.random.choice(self.kinds)
         end = kind()
-        return (kind.__name__.removeprefix("do_"), end) if end is not None else None
+        return (kind.__name__.removeprefix(self.prefix), end) if end is not None else None
 
     def reserve_instance(self):
         return self.reserve(self.site.instances)
@@ -54,8 +58,7 @@
         instance = self.reserve_instance()
         if instance is None:
             return None
-        instance.signal(signal.SIGKILL)
-        instance.process.wait()
+        self.kill(instance)
 
         def end():
             instance.start()
@@ -63,7 +66,16 @@
 
         return end
 
+    def kill(self, instance):
+        self.site.history.kills.append((instance.name, time.monotonic()))
+        instance.signal(signal.SIGKILL)
+        instance.process.wait()
+
     def do_planned_stop(self):
+        return self.planned_stop(lambda instance: instance.start())
+
+    def planned_stop(self, restart):
+        """Stops an instance with SIGTERM; `restart` starts it again when it has ended."""
         instance = self.reserve_instance()
         if instance is None or not instance.ready():
             self.release(instance)
@@ -72,19 +84,21 @@
         instance.signal(signal.SIGTERM)
 
         def end():
-            limit = max(at + STOP_GRACE_S + 2 - time.monotonic(), 0.1)
-            try:
-                status = instance.process.wait(timeout=limit)
-            except Exception:  # subprocess.TimeoutExpired
-                status = None
-                instance.signal(signal.SIGKILL)
-                instance.process.wait()
-            self.site.history.planned_stops.append((instance.name, at, status))
-            instance.start()
+            self.wait_for_stop(instance, at)
+            restart(instance)
             self.release(instance)
 
         return end
 
+    def wait_for_stop(self, instance, at):
+        limit = max(at + STOP_GRACE_S + 2 - time.monotonic(), 0.1)
+        try:
+            status = instance.process.wait(timeout=limit)
+        except subprocess.TimeoutExpired:
+            status = None
+            self.kill(instance)
+        self.site.history.planned_stops.append((instance.name, at, status))
+
     def do_pause(self):
         instance = self.reserve_instance()
         if instance is None:
@@ -101,7 +115,7 @@
         instance = self.reserve_instance()
         if instance is None:
             return None
-        if instance.ready():  # SIGHUP ends a process that has not installed its handler yet.
+        if instance.handles_signals():
             instance.signal(signal.SIGHUP)
         return lambda: self.release(instance)
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -27,6 +27,17 @@
     in_transaction: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class Unanswered:
+    """A request whose connection ended before its whole answer had arrived."""
+
+    request: str
+    instance: str
+    text: str
+    started: float
+    ended: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Run:
     """One statement that a backend server ran."""
@@ -80,12 +91,19 @@
         self.pending = {}  # by request without an answer so far: its operation
         self.recovered = {}  # by instance: whether it answered reads after the faults ended
         self.planned_stops = []  # (instance, time of the signal, exit status or None)
+        self.kills = []  # (instance, time) of each SIGKILL that the soak has sent
+        self.own_ends = []  # (instance, exit status) of each process that ended without an order
+        self.unanswered = []
 
     def add_statement(self, statement):
         with self._lock:
             self.statements.append(statement)
             self.pending.pop(statement.request, None)
 
+    def add_unanswered(self, unanswered):
+        with self._lock:
+            self.unanswered.append(unanswered)
+
     def expect(self, request, operation):
         """Records the request as pending. To be called before it is sent."""
         with self._lock:
@@ -98,7 +116,8 @@
             copy.runs = list(self.runs)
             copy.statements = list(self.statements)
             copy.pending = dict(self.pending)
-            for name in ("fences", "withdrawn", "evacuations", "planned_stops"):
+            for name in ("fences", "withdrawn", "evacuations", "planned_stops", "kills",
+                         "own_ends", "unanswered"):
                 setattr(copy, name, list(getattr(self, name)))
             copy.keys, copy.recovered = dict(self.keys), dict(self.recovered)
         # The log is read after the statements are copied, so that it contains every write that the
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -12,6 +12,8 @@
 # A read may miss writes that are younger than this, by database. The platform stand-in configures
 # the same ages.
 MAX_READ_AGE_S = {"newest": 0.0, "bounded": 1.5, "own": 2.5}
+# A connection may end this long after a request was sent that crossed its close and did not run.
+LOST_LIMIT_S = 0.2
 # Allows for the delay between the arrival of an answer and the time the caller records for it.
 CLOCK_MARGIN_S = 0.05
 
@@ -211,9 +213,30 @@
             yield f"instance {instance}: planned stop ended with exit status {status}"
 
 
+def check_own_ends(history):
+    """No process ends without an order."""
+    for instance, status in history.own_ends:
+        yield f"instance {instance}: ended by itself with status {status}"
+
+
+def check_unanswered_requests(history):
+    """Every request is answered in full, unless its instance was killed meanwhile, or it crossed the
+    close of an idle session and did not run."""
+    ran = {run.request for run in history.runs}
+    for lost in history.unanswered:
+        killed = any(instance == lost.instance and
+                     lost.started - CLOCK_MARGIN_S <= at <= lost.ended + CLOCK_MARGIN_S
+                     for instance, at in history.kills)
+        crossed = lost.request not in ran and lost.ended - lost.started <= LOST_LIMIT_S
+        if not killed and not crossed:
+            state = "ran" if lost.request in ran else "did not run"
+            yield (f"request {lost.request}: no whole answer from {lost.instance} within "
+                   f"{lost.ended - lost.started:.2f} s, {state}: {lost.text}")
+
+
 def judge(history, rate, burst):
     checks = [check_answers, check_requests, check_sessions, check_writes, check_lost_writes,
               check_reads, check_fencing_tokens, check_keys, check_evacuations, check_recovery,
-              check_stops]
+              check_stops, check_own_ends, check_unanswered_requests]
     findings = [finding for check in checks for finding in check(history)]
     return findings + list(check_rates(history, rate, burst))
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 import judge
-from history import Entry, History, Run, Statement
+from history import Entry, History, Run, Statement, Unanswered
 
 
 class JudgeTest(unittest.TestCase):
@@ -138,6 +138,37 @@
         self.history.planned_stops = [("instance-0", 1.0, None)]
         self.assertIn("planned stop ended", self.findings()[0])
 
+    def test_process_that_ends_without_an_order_is_found(self):
+        self.history.own_ends = [("instance-0", -13)]
+        self.assertIn("instance-0: ended by itself with status -13", self.findings()[0])
+
+    def lose(self, request, ended):
+        self.history.unanswered = [Unanswered(request, "instance-0", "WRITE a w-1", 1.0, ended)]
+
+    def test_request_that_ran_without_a_whole_answer_is_found(self):
+        self.lose("1", 1.1)
+        self.assertIn("no whole answer from instance-0", self.findings()[0])
+
+    def test_request_that_is_cut_off_after_a_wait_is_found(self):
+        self.lose("9", 1.5)
+        self.assertIn("no whole answer from instance-0", self.findings()[0])
+
+    # Guards against a finding for a request that crossed the close of its idle session.
+    def test_request_that_crossed_a_close_is_allowed(self):
+        self.lose("9", 1.1)
+        self.assertEqual(self.findings(), [])
+
+    # Guards against a finding for a request at an instance that the soak killed.
+    def test_request_at_a_killed_instance_is_allowed(self):
+        self.lose("1", 1.1)
+        self.history.kills = [("instance-0", 1.1)]
+        self.assertEqual(self.findings(), [])
+
+    def test_kill_of_another_instance_or_at_another_time_excuses_no_request(self):
+        self.lose("1", 1.1)
+        self.history.kills = [("instance-1", 1.1), ("instance-0", 3.0)]
+        self.assertIn("no whole answer from instance-0", self.findings()[0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import subprocess
+import threading
 import time
 
 from history import Entry, TimestampedRuns
@@ -14,6 +15,7 @@
 ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c")
 RATE = 200
 BURST = 200
+COLLECT_INTERVAL_S = 0.02
 
 
 class Proxy:
@@ -33,6 +35,40 @@
         put_json(self.control, "/faults", faults)
 
 
+class Collector:
+    """Reads the output of a process from a named pipe and appends it to a log file, until it is
+    stopped. The process keeps its end of the pipe."""
+
+    def __init__(self, pipe, log_path):
+        self.pipe, self.log_path = pipe, log_path
+        os.mkfifo(pipe)
+        self.start()
+
+    def start(self):
+        self.reading = os.open(self.pipe, os.O_RDONLY | os.O_NONBLOCK)
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        with open(self.log_path, "ab") as log:
+            while not self.stopped.wait(COLLECT_INTERVAL_S):
+                self.copy_to(log)
+            os.close(self.reading)
+
+    def copy_to(self, log):
+        try:
+            while data := os.read(self.reading, 1 << 16):
+                log.write(data)
+        except BlockingIOError:
+            pass  # Nothing more has been written.
+        log.flush()
+
+    def stop(self):
+        self.stopped.set()
+        self.thread.join()
+
+
 class Instance:
     """An entry instance. Its process can be started again with the same settings."""
 
@@ -44,25 +80,45 @@
         self.log_path = os.path.join(work_dir, f"{self.name}.log")
         self.callers, self.admin, self.peers, self.gateway = (free_port() for _ in range(4))
         self.process = None
+        self.collector = Collector(os.path.join(work_dir, f"{self.name}.pipe"), self.log_path)
 
-    def write_settings(self, store, promotions):
+    def write_settings(self, store, promotions, stop_grace_s):
         with open(self.settings, "w", encoding="utf-8") as out:
             out.write(f"instance: {self.name}\nzone: {self.zone}\n"
                       f"callers: {LOOPBACK}:{self.callers}\nadmin: {LOOPBACK}:{self.admin}\n"
                       f"peers: {LOOPBACK}:{self.peers}\ngateway: {LOOPBACK}:{self.gateway}\n"
                       f"core_share: 0.25\nstore: {LOOPBACK}:{store}\n"
-                      f"promotions: {LOOPBACK}:{promotions}\nstop_grace_s: {STOP_GRACE_S}\n"
+                      f"promotions: {LOOPBACK}:{promotions}\nstop_grace_s: {stop_grace_s}\n"
                       f"zones: [{', '.join(sorted(set(ZONES)))}]\nfenced_promotions: true\n")
 
     def start(self):
-        with open(self.log_path, "a", encoding="utf-8") as log:
+        self.ordered_to_end = False
+        with self.open_output() as output:
             self.process = subprocess.Popen([self.program, "--settings", self.settings],
-                                            stdout=log, stderr=subprocess.STDOUT)
+                                            stdout=output, stderr=subprocess.STDOUT)
+
+    def open_output(self):
+        return open(self.collector.pipe, "wb", buffering=0)
 
     def signal(self, number):
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.ordered_to_end = True
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def ended_by_itself(self):
+        return self.process.poll() is not None and not self.ordered_to_end
+
+    def handles_signals(self):
+        """Whether the program has been loaded; until then signals end it."""
+        try:
+            with open(f"/proc/{self.process.pid}/status", encoding="ascii") as status:
+                fields = dict(line.split(":\t") for line in status if ":\t" in line)
+        except OSError:
+            return False
+        handled = int(fields["SigBlk"], 16) | int(fields["SigCgt"], 16)
+        return bool(handled & (1 << (signal.SIGTERM - 1)))
+
     def ready(self):
         try:
             return fetch_status(self.admin, "/readyz") == 200
@@ -71,10 +127,13 @@
 
 
 class Site:
-    def __init__(self, history, work_dir, build):
+    def __init__(self, history, work_dir, build, work_s=0.0, stop_grace_s=STOP_GRACE_S):
+        """`work_s` is the time that a server takes for each request."""
         self.history = history
         self.platform = Platform(RATE, BURST)
         self.servers = list(self.platform.database.servers.values())
+        for server in self.servers:
+            server.work_s = work_s
         self.server_proxies = {server.id: Proxy(build, [server.port]) for server in self.servers}
         self.instances = [Instance(number, zone, work_dir, build)
                           for number, zone in enumerate(ZONES)]
@@ -82,7 +141,7 @@
         self.peer_proxies = {}
         for instance in self.instances:
             store = Proxy(build, [self.platform.store_port, self.platform.promotion_port])
-            instance.write_settings(*store.ports)
+            instance.write_settings(*store.ports, stop_grace_s)
             self.store_proxies[instance.name] = store
             self.peer_proxies[instance.name] = Proxy(build, [instance.peers, instance.gateway])
         self.platform.call(self.prepare)
@@ -145,12 +204,23 @@
         return [proxy.process for proxy in proxies] + [
             instance.process for instance in self.instances if instance.process is not None]
 
+    def restart_ended(self):
+        """Records the instances that have ended without an order, and starts them again."""
+        for instance in self.instances:
+            # A process without a collector could not open its output.
+            if instance.ended_by_itself() and not instance.collector.stopped.is_set():
+                status = instance.process.returncode
+                self.history.own_ends.append((instance.name, status))
+                instance.start()
+
     def stop(self):
         for process in self.processes():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        for instance in self.instances:
+            instance.collector.stop()
         # Stopping the event loop cancels its tasks. Suppresses the errors it reports for them.
         self.platform.loop.call_soon_threadsafe(self.platform.loop.set_exception_handler,
                                                 lambda _loop, _context: None)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,29 +14,36 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
                                 "process"))
 
-from callers import Caller, answers_reads
+from callers import PAUSE_S, Caller, answers_reads
 from faults import Faults
 from history import History
 from judge import judge
+from planned_work import PlannedWork
 from site_under_soak import BURST, RATE, ROOT, Site
 
 CALLERS = 12
 MAX_ACTIVE_FAULTS = 3
+SERVER_WORK_S = 0.005
 JUDGE_INTERVAL_S = 5.0
 READY_TIMEOUT_S = 20.0
 RECOVERY_TIMEOUT_S = 12.0
 
 
 class Soak:
-    def __init__(self, seed, seconds, build, with_restores=False):
+    def __init__(self, seed, options, **site_options):
         self.seed = seed
-        self.seconds = seconds
+        self.seconds = options.seconds
         self.work_dir = tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-")
         self.history = History()
-        self.site = Site(self.history, self.work_dir, build)
+        site_options.setdefault("work_s", SERVER_WORK_S if options.planned_work else 0.0)
+        self.site = Site(self.history, self.work_dir, options.build, **site_options)
         self.random = random.Random(seed)
-        self.faults = Faults(self.site, self.random, with_restores)
-        self.callers = [Caller(self.site, number, CALLERS, seed) for number in range(CALLERS)]
+        kinds = PlannedWork if options.planned_work else Faults
+        self.faults = kinds(self.site, self.random, options.store_restores)
+        # With planned work, every second caller sends its next operation at once.
+        self.callers = [Caller(self.site, number, CALLERS, seed,
+                               0.0 if options.planned_work and number % 4 > 1 else PAUSE_S)
+                        for number in range(CALLERS)]
         self.active_faults = []  # (time to end it, name, function that ends it)
         self.fault_log = []  # start and end of each fault, for faults.log
 
@@ -75,6 +82,7 @@
         next_check = started + JUDGE_INTERVAL_S
         while time.monotonic() < started + self.seconds:
             now = time.monotonic()
+            self.site.restart_ended()
             self.end_expired_faults(now, started)
             if now >= next_fault and len(self.active_faults) < MAX_ACTIVE_FAULTS:
                 self.start_fault(now, started)
@@ -103,6 +111,7 @@
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
         waiting = list(self.site.instances)
         while waiting and time.monotonic() < deadline:
+            self.site.restart_ended()
             waiting = [instance for instance in waiting if not answers_reads(self.site, instance)]
             time.sleep(0.1)
         for instance in self.site.instances:
@@ -114,10 +123,12 @@
     def summary(self):
         outcomes = collections.Counter(statement.error or "ok"
                                        for statement in self.history.statements)
-        return ", ".join(f"{name} {count}" for name, count in outcomes.most_common())
+        answers = ", ".join(f"{name} {count}" for name, count in outcomes.most_common())
+        stops, kills = len(self.history.planned_stops), len(self.history.kills)
+        return f"{stops} stops, {kills} kills; {answers}"
 
 
-def main():
+def parse_options(arguments=None):
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, action="append", help="a seed to run (repeatable)")
     parser.add_argument("--fresh", type=int, default=0, help="number of further, random seeds")
@@ -125,14 +136,21 @@
                         help="duration of the fault injection for each seed")
     parser.add_argument("--store-restores", action="store_true",
                         help="also restore the store from older copies")
+    parser.add_argument("--planned-work", action="store_true",
+                        help="inject planned work and troubles around a start only; no request may "
+                             "then be cut off")
     parser.add_argument("--build", default=os.environ.get("ORIOLE_BUILD",
                                                           os.path.join(ROOT, "build")))
-    options = parser.parse_args()
+    return parser.parse_args(arguments)
+
+
+def main():
+    options = parse_options()
     seeds = (options.seed or []) + [random.SystemRandom().randrange(1, 10**9)
                                     for _ in range(options.fresh)]
     failed = []
     for seed in seeds:
-        soak = Soak(seed, options.seconds, options.build, options.store_restores)
+        soak = Soak(seed, options)
         findings = soak.run()
         print(f"seed {seed}: {len(findings)} findings; {soak.summary()}", flush=True)
         if not findings:
