Test changes of primary with synchronous replicas on processes

A draining replica, one in an evacuated zone and one that does not answer may each have the only copy.

--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -3,15 +3,19 @@
 import asyncio
 import time
 
+DURABILITY_CHECK_S = 0.005
+
 
 class Database:
     """The backend servers of one service. The leader's log is authoritative; replicas receive its
     entries at once and apply them after their lag. Unless `fenced`, a replaced leader goes on
-    accepting writes until it is told to step down; its replicas do not receive these."""
+    accepting writes until it is told to step down; its replicas do not receive these. With
+    `sync_replicas`, a commit is acknowledged once a replica has received it."""
 
-    def __init__(self, name, max_connections=21, fenced=True):
+    def __init__(self, name, max_connections=21, fenced=True, sync_replicas=0):
         self.name = name
         self.fenced = fenced
+        self.sync_replicas = sync_replicas
         self.replaced_leaders = set()
         self.max_connections = max_connections
         self.servers = {}
@@ -27,11 +31,13 @@
         for other in self.servers.values():
             if other in self.replaced_leaders:
                 continue
+            other.paused = False
             other.log = other.log[: len(server.log)]
             other.received_at = other.received_at[: len(server.log)]
         self.leader = server
         server.log.append((self.term, None, None))
         server.received_at.append(0.0)
+        server.replicate()
 
 
 class Backend:
@@ -39,8 +45,8 @@
 
     `work_s` is the time that each request takes.
 
-    Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, and the next
-    `lost_answers` requests that have an id are executed but not answered. `ran` records the
+    Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, without
+    `receiving` a replica receives no entries, and the next `lost_answers` requests that have an id are executed but not answered. `ran` records the
     executed statements as (request id, account, words, transaction state, session values)."""
 
     def __init__(self, database, server_id, zone):
@@ -51,6 +57,8 @@
         self.received_at = [0.0]
         self.lag_s = 0.0
         self.dark = False
+        self.receiving = True
+        self.paused = False  # told to receive nothing until the next promotion
         self.work_s = 0.0
         self.lost_answers = 0
         self.writes = 0  # entries written to the store
@@ -81,13 +89,24 @@
         replaced = self in self.database.replaced_leaders
         self.log.append((self.log[-1][0] if replaced else self.database.term, item, data))
         self.received_at.append(time.monotonic())
-        if replaced:
-            return
+        if not replaced:
+            self.replicate()
+
+    def replicate(self):
+        """Sends the other servers what they lack of this log."""
+        now = time.monotonic()
         for other in self.database.servers.values():
-            if (other is not self and not other.dark
-                    and other not in self.database.replaced_leaders):
-                other.log.append(self.log[-1])
-                other.received_at.append(time.monotonic())
+            receives = other.receiving and not other.paused and not other.dark
+            if other is not self and receives and other not in self.database.replaced_leaders:
+                missing = self.log[len(other.log):]
+                other.log.extend(missing)
+                other.received_at.extend([now] * len(missing))
+
+    def is_durable(self):
+        """Whether as many replicas as the service demands have received the whole log."""
+        holders = sum(other.log[:len(self.log)] == self.log
+                      for other in self.database.servers.values() if other is not self)
+        return holders >= self.database.sync_replicas
 
     def read(self, item):
         for term, name, data in reversed(self.log[: self.applied_count()]):
@@ -147,13 +166,26 @@
             if self.server.work_s > 0:
                 await asyncio.sleep(self.server.work_s)
             _, request_id, text = line.split(" ", 2)
+            entries = len(self.server.log)
             answer = self.execute(request_id, text)
+            if len(self.server.log) > entries:
+                await self.wait_until_durable()
             if request_id != "-" and self.server.lost_answers > 0:
                 self.server.lost_answers -= 1
                 continue
             await self.send(answer)
             await self.send_ready()
 
+    async def wait_until_durable(self):
+        """Waits until enough replicas have received the log. A commit that is still waiting when the
+        server is replaced gets no answer."""
+        while self.server.is_leader:
+            if self.server.is_durable():
+                return
+            await asyncio.sleep(DURABILITY_CHECK_S)
+            self.server.replicate()
+        raise ConnectionError("replaced as the leader")
+
     async def send(self, text):
         self.writer.write(text.encode())
         await self.writer.drain()
@@ -254,6 +286,15 @@
         row = f"{role} {term} {term}.{len(server.log)} 0 0 0 {len(server.connections)}"
         return f"DATAROW {row}\r\nCOMPLETE -\r\n"
 
+    def do_pause(self, request_id, words):
+        if not self.server.is_leader and int(words[1]) > self.server.database.term:
+            self.server.paused = True
+        return self.do_status(request_id, words)
+
+    def do_resume(self, request_id, words):
+        self.server.paused = False
+        return self.do_status(request_id, words)
+
     def do_stepdown(self, request_id, words):
         database = self.server.database
         if self.server in database.replaced_leaders:
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -19,8 +19,11 @@
 
 
 class Platform:
-    def __init__(self, rate=1000, burst=1000, fenced=True, zones=ZONES):
+    def __init__(self, rate=1000, burst=1000, fenced=True, zones=ZONES, sync_replicas=0):
         self.fenced = fenced
+        self.sync_replicas = sync_replicas
+        self.promotion_delay_s = PROMOTION_DELAY_S
+        self.refuses_promotions = False
         self.zones = zones
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -56,7 +59,8 @@
 
     async def start(self):
         self.store = Store()
-        self.database = Database(SERVICE, fenced=self.fenced)
+        self.database = Database(SERVICE, fenced=self.fenced,
+                                 sync_replicas=self.sync_replicas)
         self.links = LinkGroups()
         self.store_port = await self.listen(
             "store", lambda reader, writer: serve_http(reader, writer, self.store.handle))
@@ -114,7 +118,8 @@
                     "burst": self.burst} for name, keys in self.keys.items()]
         await self.store.put("config", "main", {
             "version": self.version, "routes": routes, "tenants": tenants,
-            "services": [{"name": SERVICE, "max_conns": 21, "sync_replicas": 0}],
+            "services": [{"name": SERVICE, "max_conns": 21,
+                          "sync_replicas": self.sync_replicas}],
             "limits": {"tx_idle_ms": 1000}})
 
     async def promote(self, _method, path, _query, headers, body):
@@ -122,12 +127,12 @@
         carries a lower fencing token than an earlier one."""
         fence = int(headers["fencing-token"])
         outdated = self.fenced and self.fences and fence < self.fences[-1]
-        if path != "/promote" or outdated:
+        if path != "/promote" or outdated or self.refuses_promotions:
             return 409, {}
         self.fences.append(fence)
         server = self.database.servers[body["id"]]
         if not server.is_leader:
-            self.loop.call_later(PROMOTION_DELAY_S, self.finish_promotion, server)
+            self.loop.call_later(self.promotion_delay_s, self.finish_promotion, server)
         return 200, {}
 
     def finish_promotion(self, server):
--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -144,11 +144,13 @@
     rate = 1000
     burst = 1000
     fenced = True
+    sync_replicas = 0
     instance_zones = ("zone-a", "zone-b")
 
     def setUp(self):
         self.work_dir = tempfile.mkdtemp(prefix="oriole-platform-")
-        self.platform = Platform(self.rate, self.burst, self.fenced)
+        self.platform = Platform(self.rate, self.burst, self.fenced,
+                                 sync_replicas=self.sync_replicas)
         self.addCleanup(self.platform.stop)
         self.instances = []
         for zone in self.instance_zones:
