Ask replicas that lost their entry for their log before a promotion

What callers saw: with synchronous replicas a change of primary rolled back acknowledged commits (LOST).

Cause: only servers with an entry in the store were asked. A replica that is cut off from the store alone loses its entry after three silent heartbeats, but goes on to receive and to acknowledge commits.

Where commits need replicas, those that were removed within 60 s without having reported that they leave are asked too. One that does not answer counts like any other; after that time it no longer prevents a promotion. If such a replica has the longest log, it is promoted and hands over to a listed one, as in a planned change.

Unit tests of the directory and the monitor. The queries moved out of primary_changer into server_queries and replica_survey.

--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -18,6 +18,10 @@
 /// An instance that no watcher of its zone has answered for this long watches the store itself. It
 /// spans two polls, and leaves most of the shortest specified limit of 3 s for the change itself.
 constexpr clock::duration watcher_answer_lifetime = 1800ms;
+/// How long a server without an entry in the store is asked for its log before a promotion. A
+/// replica that is cut off from the store still receives commits; one that has ended for good must
+/// not prevent a promotion for ever.
+constexpr clock::duration unlisted_replica_memory = 60s;
 
 } // namespace
 
@@ -255,6 +259,19 @@
     return *found;
 }
 
+std::optional<fleet::registered_server>
+fleet_state::find_known_server(const server_name& id, clock::time_point now) const {
+    if (auto listed = find_server(id)) {
+        return listed;
+    }
+    for (auto& removed : m_directory->removed_since(now - unlisted_replica_memory)) {
+        if (removed.id == id) {
+            return std::move(removed);
+        }
+    }
+    return std::nullopt;
+}
+
 account_name fleet_state::any_account() const {
     if (m_config == nullptr || m_config->accounts.empty()) {
         return {};
@@ -356,6 +373,11 @@
             result.servers.push_back(server);
         }
     }
+    for (const auto& server : m_directory->removed_since(now - unlisted_replica_memory)) {
+        if (server.service == service && !server.draining) {
+            result.unlisted.push_back(server);
+        }
+    }
     result.evacuated_zones = m_evacuated.zones();
     const auto limits = m_config->services.find(service);
     if (limits != m_config->services.end()) {
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -153,6 +153,10 @@
 
     [[nodiscard]] std::optional<fleet::registered_server> find_server(const server_name& id) const;
 
+    /// As find_server(), also for a server whose entry was removed a short time ago.
+    [[nodiscard]] std::optional<fleet::registered_server>
+    find_known_server(const server_name& id, clock::time_point now) const;
+
     /// The other instances that are considered alive.
     [[nodiscard]] const std::vector<fleet::registered_instance>& peers() const noexcept {
         return m_instances.live();
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -17,8 +17,7 @@
 using sessions::command_kind;
 using sessions::server_command;
 
-/// Time limit for each step of a query to a server: connecting, sending and receiving. Replicas
-/// answer fast because they are idle when their primary is lost.
+/// Time limit for each step of a query to a server: connecting, sending and receiving.
 constexpr clock::duration query_timeout = 300ms;
 /// The same for a primary that seems lost, whose change waits for the answer. A primary that
 /// answers later is too slow to be kept.
@@ -46,7 +45,9 @@
       m_fleet(fleet),
       m_orders(orders),
       m_authority(authority),
-      m_connector(connector),
+      m_queries(m_executor, connector, log),
+      m_survey(m_fleet, m_queries,
+               [this](const server_name& server) { return m_refused_until.contains(server); }),
       m_leases(leases),
       m_log(log),
       m_promotions(metrics.get("oriole_promotions_total")),
@@ -241,115 +242,58 @@
 }
 
 asio::awaitable<std::optional<sessions::server_status>>
-primary_changer::query_server(server_name server, server_command command,
+primary_changer::query_server(server_name server, command_kind kind, std::uint64_t term,
                               clock::duration step_timeout) {
-    const auto listed = m_fleet.find_server(server);
-    if (!listed) {
+    const auto known = m_fleet.find_known_server(server, steady_clock().now());
+    if (!known) {
         co_return std::nullopt;
     }
-    const auto channel = m_connector.make_channel(m_executor);
-    std::optional<sessions::server_status> status;
-    std::string failure;
-    try {
-        connection_request request{listed->address, listed->service, m_fleet.any_account(),
-                                   listed->id};
-        const auto opened = co_await channel->open(std::move(request), step_timeout);
-        if (opened.code == sessions::answer_code::ok) {
-            std::vector<server_command> commands{std::move(command)};
-            co_await channel->send(std::move(commands), step_timeout);
-            const auto answer = co_await channel->receive(step_timeout);
-            status = answer.status;
-        }
-    } catch (const server_unreachable& unreachable) {
-        failure = unreachable.what();
-    }
-    channel->close();
-    log_entry line("server_status");
-    line.add("server", server.str()).add("outcome", status ? "answered" : "no_answer");
-    if (status) {
-        line.add("primary", status->primary ? 1 : 0)
-            .add("term", status->term)
-            .add("received", std::to_string(status->received.term()) + "." +
-                                 std::to_string(status->received.offset()));
-    }
-    if (!failure.empty()) {
-        line.add("reason", failure);
-    }
-    m_log.write(line);
-    co_return status;
+    server_command command;
+    command.kind = kind;
+    command.term = term;
+    co_return co_await m_queries.query(*known, m_fleet.any_account(), std::move(command),
+                                       step_timeout);
 }
 
 asio::awaitable<bool> primary_changer::still_leads(server_name server) {
-    server_command command;
-    command.kind = command_kind::status;
+    if (!m_fleet.find_server(server)) {
+        // Without an entry it must not be used any more, even if it answers.
+        co_return false;
+    }
     const auto status =
-        co_await query_server(std::move(server), std::move(command), primary_query_timeout);
+        co_await query_server(std::move(server), command_kind::status, 0, primary_query_timeout);
     co_return status && status->primary;
 }
 
 asio::awaitable<std::optional<server_name>>
-primary_changer::choose_target(const fleet::primary_change& change,
-                               const fleet::promotion_order& last) {
+primary_changer::choose_target(fleet::primary_change change, fleet::promotion_order last) {
     if (m_fleet.leases_needed() && last.target == change.from &&
         !m_refused_until.contains(last.target)) {
         // The last promotion may not have been sent, or may still take effect. Promoting another
         // server could then make two primaries.
-        server_command command;
-        command.kind = command_kind::status;
-        const auto status = co_await query_server(last.target, command, query_timeout);
+        const auto status =
+            co_await query_server(last.target, command_kind::status, 0, query_timeout);
         if (status && !status->primary) {
             co_return last.target;
         }
     }
-    std::vector<fleet::replica_log> logs;
-    for (const auto& server : change.candidates) {
-        logs.push_back(co_await query_log(server, false));
-    }
-    if (change.synchronous_replicas > 0) {
-        for (const auto& server : change.leaving) {
-            logs.push_back(co_await query_log(server, true));
-        }
-        // An old primary that has stepped down has all commits, but it is no replica that
-        // acknowledged them.
-        server_command command;
-        command.kind = command_kind::status;
-        const auto old = co_await query_server(change.from, command, query_timeout);
-        if (old && !old->primary) {
-            logs.push_back({change.from, true, old->received});
-        }
-    }
-    co_return fleet::choose_longest_log(logs, change.synchronous_replicas);
-}
-
-asio::awaitable<fleet::replica_log> primary_changer::query_log(server_name server,
-                                                               bool is_leaving) {
-    fleet::replica_log log{server, is_leaving, std::nullopt};
-    if (m_refused_until.contains(server)) {
-        co_return log;
-    }
-    server_command command;
-    command.kind = command_kind::status;
-    const auto status = co_await query_server(std::move(server), std::move(command), query_timeout);
-    if (status) {
-        log.received = status->received;
-    }
-    co_return log;
+    const int synchronous_replicas = change.synchronous_replicas;
+    const auto logs = co_await m_survey.ask(std::move(change));
+    co_return fleet::choose_longest_log(logs, synchronous_replicas);
 }
 
 asio::awaitable<primary_changer::step_down_result>
 primary_changer::step_down_old_primary(service_name service, fleet::primary_change change,
                                        server_name target) {
     step_down_result result;
-    server_command command;
-    command.kind = command_kind::status;
-    auto old = co_await query_server(change.from, command, query_timeout);
+    auto old = co_await query_server(change.from, command_kind::status, 0, query_timeout);
     if (!old || !old->primary) {
         result.stopped = old.has_value();
         co_return result;
     }
-    command.kind = command_kind::step_down;
-    command.term = std::max(old->term, m_fleet.primary_monitor_of(service).term()) + 1;
-    const auto stepped = co_await query_server(change.from, command, query_timeout);
+    const auto next_term = std::max(old->term, m_fleet.primary_monitor_of(service).term()) + 1;
+    const auto stepped =
+        co_await query_server(change.from, command_kind::step_down, next_term, query_timeout);
     if (stepped) {
         old = stepped;
     }
@@ -358,9 +302,7 @@
     // The commits that the old primary has acknowledged are safe once the target has received the
     // old primary's log.
     for (int attempt = 0; attempt < catch_up_attempts; ++attempt) {
-        command = {};
-        command.kind = command_kind::status;
-        const auto status = co_await query_server(target, command, query_timeout);
+        const auto status = co_await query_server(target, command_kind::status, 0, query_timeout);
         if (status && status->received >= old->received) {
             result.caught_up = true;
             break;
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -7,6 +7,8 @@
 #include "entry/internal/fleet_state.h"
 #include "entry/internal/lease_revoker.h"
 #include "entry/internal/promotion_orders.h"
+#include "entry/internal/replica_survey.h"
+#include "entry/internal/server_queries.h"
 #include "entry/server_channel.h"
 #include "fleet/promotion_choice.h"
 
@@ -42,11 +44,6 @@
         friend bool operator==(const step_down_result&, const step_down_result&) = default;
     };
 
-    struct candidate_status {
-        server_name server;
-        sessions::server_status status;
-    };
-
     [[nodiscard]] boost::asio::awaitable<void> run(service_name service,
                                                    fleet::primary_change change);
     [[nodiscard]] boost::asio::awaitable<void> perform_change(service_name service,
@@ -64,7 +61,7 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<promotion_result>>
     send_promotion(fleet::promotion_order order);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
-    query_server(server_name server, sessions::server_command command,
+    query_server(server_name server, sessions::command_kind kind, std::uint64_t term,
                  clock::duration step_timeout);
     /// Returns why the primary must not be changed now, as an outcome to log; empty when it may.
     [[nodiscard]] boost::asio::awaitable<std::string_view>
@@ -72,11 +69,7 @@
     /// Asks the server, over a new connection, whether it is the primary.
     [[nodiscard]] boost::asio::awaitable<bool> still_leads(server_name server);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
-    choose_target(const fleet::primary_change& change, const fleet::promotion_order& last);
-    /// Asks the server for the log that it has received; a server that the platform has just
-    /// refused to promote counts as one that does not answer.
-    [[nodiscard]] boost::asio::awaitable<fleet::replica_log> query_log(server_name server,
-                                                                       bool is_leaving);
+    choose_target(fleet::primary_change change, fleet::promotion_order last);
     [[nodiscard]] boost::asio::awaitable<step_down_result>
     step_down_old_primary(service_name service, fleet::primary_change change, server_name target);
     void log_outcome(const service_name& service, std::string_view outcome);
@@ -85,7 +78,8 @@
     fleet_state& m_fleet;
     promotion_orders& m_orders;
     promotion_authority& m_authority;
-    server_connector& m_connector;
+    server_queries m_queries;
+    replica_survey m_survey;
     lease_revoker& m_leases;
     decision_log& m_log;
     metric& m_promotions;
--- /dev/null
+++ b/src/entry/internal/replica_survey.cpp
@@ -0,0 +1,93 @@
+#include <utility>
+
+#include "entry/internal/replica_survey.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using sessions::command_kind;
+using sessions::server_command;
+
+/// Time limit for each step of a query. Replicas answer fast because they are idle when their
+/// primary is lost.
+constexpr clock::duration query_timeout = 300ms;
+
+server_command make_command(command_kind kind) {
+    server_command command;
+    command.kind = kind;
+    return command;
+}
+
+} // namespace
+
+replica_survey::replica_survey(fleet_state& fleet, server_queries& queries,
+                               std::function<bool(const server_name&)> is_refused)
+    : m_fleet(fleet), m_queries(queries), m_is_refused(std::move(is_refused)) {}
+
+asio::awaitable<std::vector<fleet::replica_log>> replica_survey::ask(fleet::primary_change change) {
+    auto answered = co_await send(replicas_of(change), make_command(command_kind::status));
+    auto old = co_await ask_old_primary(std::move(change));
+    std::move(old.begin(), old.end(), std::back_inserter(answered.logs));
+    co_return std::move(answered.logs);
+}
+
+std::vector<replica_survey::replica>
+replica_survey::replicas_of(const fleet::primary_change& change) const {
+    std::vector<replica> replicas;
+    for (const auto& id : change.candidates) {
+        if (auto server = m_fleet.find_server(id)) {
+            replicas.push_back({std::move(*server), false});
+        }
+    }
+    if (change.synchronous_replicas == 0) {
+        return replicas;
+    }
+    for (const auto& id : change.leaving) {
+        if (auto server = m_fleet.find_server(id)) {
+            replicas.push_back({std::move(*server), true});
+        }
+    }
+    for (const auto& server : change.unlisted) {
+        replicas.push_back({server, true});
+    }
+    return replicas;
+}
+
+asio::awaitable<std::vector<fleet::replica_log>>
+replica_survey::ask_old_primary(fleet::primary_change change) {
+    std::vector<fleet::replica_log> logs;
+    const auto server = m_fleet.find_known_server(change.from, steady_clock().now());
+    if (change.synchronous_replicas == 0 || !server) {
+        co_return logs;
+    }
+    const auto status = co_await m_queries.query(*server, m_fleet.any_account(),
+                                                 make_command(command_kind::status), query_timeout);
+    if (status && !status->primary) {
+        logs.push_back({change.from, true, status->received});
+    }
+    co_return logs;
+}
+
+asio::awaitable<replica_survey::answers> replica_survey::send(std::vector<replica> replicas,
+                                                              server_command command) {
+    answers result;
+    for (const auto& [server, is_leaving] : replicas) {
+        fleet::replica_log log{server.id, is_leaving, std::nullopt};
+        if (!m_is_refused(server.id)) {
+            const auto status =
+                co_await m_queries.query(server, m_fleet.any_account(), command, query_timeout);
+            if (status) {
+                log.received = status->received;
+            }
+        }
+        result.logs.push_back(std::move(log));
+    }
+    co_return result;
+}
+
+} // namespace oriole::entry
--- /dev/null
+++ b/src/entry/internal/server_queries.cpp
@@ -0,0 +1,51 @@
+#include <utility>
+
+#include "entry/internal/server_queries.h"
+
+#include <string>
+#include <vector>
+
+namespace oriole::entry {
+
+namespace asio = boost::asio;
+using sessions::server_command;
+
+server_queries::server_queries(asio::any_io_executor executor, server_connector& connector,
+                               decision_log& log)
+    : m_executor(std::move(executor)), m_connector(connector), m_log(log) {}
+
+asio::awaitable<std::optional<sessions::server_status>>
+server_queries::query(fleet::registered_server server, account_name account, server_command command,
+                      clock::duration step_timeout) {
+    const auto channel = m_connector.make_channel(m_executor);
+    std::optional<sessions::server_status> status;
+    std::string failure;
+    try {
+        connection_request request{server.address, server.service, std::move(account), server.id};
+        const auto opened = co_await channel->open(std::move(request), step_timeout);
+        if (opened.code == sessions::answer_code::ok) {
+            std::vector<server_command> commands{std::move(command)};
+            co_await channel->send(std::move(commands), step_timeout);
+            const auto answer = co_await channel->receive(step_timeout);
+            status = answer.status;
+        }
+    } catch (const server_unreachable& unreachable) {
+        failure = unreachable.what();
+    }
+    channel->close();
+    log_entry line("server_status");
+    line.add("server", server.id.str()).add("outcome", status ? "answered" : "no_answer");
+    if (status) {
+        line.add("primary", status->primary ? 1 : 0)
+            .add("term", status->term)
+            .add("received", std::to_string(status->received.term()) + "." +
+                                 std::to_string(status->received.offset()));
+    }
+    if (!failure.empty()) {
+        line.add("reason", failure);
+    }
+    m_log.write(line);
+    co_return status;
+}
+
+} // namespace oriole::entry
--- a/src/fleet/internal/outage_tolerant_directory.cpp
+++ b/src/fleet/internal/outage_tolerant_directory.cpp
@@ -113,6 +113,16 @@
         return result;
     }
 
+    std::vector<registered_server> removed_since(clock::time_point since) const override {
+        std::vector<registered_server> result;
+        for (const auto& [id, removed] : m_removed) {
+            if (removed.forget_at - removal_memory > since && !m_servers.contains(id)) {
+                result.push_back(removed.last_entry);
+            }
+        }
+        return result;
+    }
+
 private:
     struct record {
         registered_server listed;
--- a/src/fleet/internal/ranked_primary_monitor.cpp
+++ b/src/fleet/internal/ranked_primary_monitor.cpp
@@ -1,6 +1,7 @@
 #include "fleet/primary_monitor.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace oriole::fleet {
@@ -92,7 +93,8 @@
             return std::nullopt;
         }
         auto change = make_change(inputs);
-        const bool may_promote_leaving = change.synchronous_replicas > 0 && !change.leaving.empty();
+        const bool may_promote_leaving =
+            change.synchronous_replicas > 0 && !(change.leaving.empty() && change.unlisted.empty());
         if (change.candidates.empty() && !may_promote_leaving) {
             return std::nullopt;
         }
@@ -121,6 +123,17 @@
         return server.draining || inputs.evacuated_zones.contains(server.zone);
     }
 
+    /// Whether the primary, nullptr when it is not listed, may still run and hand over its log.
+    [[nodiscard]] bool leaves(const registered_server* primary,
+                              const primary_change_inputs& inputs) const {
+        if (primary != nullptr) {
+            return draining_or_evacuated(*primary, inputs);
+        }
+        return inputs.synchronous_replicas > 0 &&
+               std::any_of(inputs.unlisted.begin(), inputs.unlisted.end(),
+                           [this](const auto& server) { return server.id == m_primary; });
+    }
+
     [[nodiscard]] std::optional<clock::time_point>
     change_due_since(const primary_change_inputs& inputs, clock::time_point now) const {
         if (inputs.servers.empty()) {
@@ -175,10 +188,11 @@
         primary_change change;
         const auto* primary = find_primary(inputs);
         change.from = m_primary;
-        change.reason = primary != nullptr && draining_or_evacuated(*primary, inputs)
-                            ? change_reason::planned
-                            : change_reason::lost;
+        change.reason = leaves(primary, inputs) ? change_reason::planned : change_reason::lost;
         change.synchronous_replicas = inputs.synchronous_replicas;
+        std::copy_if(inputs.unlisted.begin(), inputs.unlisted.end(),
+                     std::back_inserter(change.unlisted),
+                     [this](const auto& server) { return server.id != m_primary; });
         for (const auto& server : inputs.servers) {
             if (server.id != m_primary) {
                 auto& list =
--- a/src/fleet/primary_monitor.h
+++ b/src/fleet/primary_monitor.h
@@ -30,6 +30,9 @@
     std::vector<server_name> candidates; ///< servers that may be promoted, preferred ones first
     /// Servers that are about to leave, but may have the only copy of an acknowledged commit.
     std::vector<server_name> leaving;
+    /// Servers whose entries were removed a short time ago, though they had not reported that they
+    /// leave: they may have ended, or only not reach the store.
+    std::vector<registered_server> unlisted;
     int synchronous_replicas = 0; ///< replicas that receive a commit before it is acknowledged
 
     friend bool operator==(const primary_change&, const primary_change&) = default;
@@ -39,6 +42,7 @@
 struct primary_change_inputs {
     service_name service;
     std::vector<registered_server> servers;
+    std::vector<registered_server> unlisted; ///< as in primary_change
     std::set<zone_name> evacuated_zones;
     int synchronous_replicas = 0; ///< replicas that receive a commit before it is acknowledged
     primary_evidence own;         ///< what this instance observed
--- a/src/fleet/server_directory.h
+++ b/src/fleet/server_directory.h
@@ -42,6 +42,11 @@
     [[nodiscard]] virtual store_revision revision() const = 0;
 
     [[nodiscard]] virtual std::vector<registered_server> servers() const = 0;
+
+    /// The last entries of the servers that were removed after `since`, which may not be more than
+    /// 10 min ago.
+    [[nodiscard]] virtual std::vector<registered_server>
+    removed_since(clock::time_point since) const = 0;
 };
 
 [[nodiscard]] std::unique_ptr<server_directory> make_server_directory();
--- a/src/fleet/tests/primary_monitor_test.cpp
+++ b/src/fleet/tests/primary_monitor_test.cpp
@@ -125,6 +125,28 @@
     EXPECT_EQ(change->candidates, std::vector<server_name>{server_name("s2")});
 }
 
+// Guards against a promotion that leaves out a replica which lost its entry, but may have the only
+// copy of a commit.
+TEST_F(primary_monitor_test, unlisted_servers_are_part_of_the_change_except_the_primary) {
+    primary_fails_since(1s);
+    m_inputs.synchronous_replicas = 1;
+    m_inputs.unlisted = {m_inputs.servers[0], m_inputs.servers[2]};
+    m_inputs.servers.resize(2);
+    const auto change = m_monitor->due_change(m_inputs, at(2s));
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->unlisted, std::vector{m_inputs.unlisted[1]});
+}
+
+// Guards against a primary without an entry that is replaced without a hand-over of its log, though
+// it runs.
+TEST_F(primary_monitor_test, unlisted_primary_hands_over_where_replicas_are_synchronous) {
+    m_inputs.unlisted = {m_inputs.servers[0]};
+    m_inputs.servers.erase(m_inputs.servers.begin());
+    EXPECT_EQ(m_monitor->due_change(m_inputs, at(2s))->reason, change_reason::lost);
+    m_inputs.synchronous_replicas = 1;
+    EXPECT_EQ(m_monitor->due_change(m_inputs, at(2s))->reason, change_reason::planned);
+}
+
 // Guards against a former primary that counts as primary again when its answers of an older term
 // arrive after a newer primary's.
 TEST_F(primary_monitor_test, proof_of_the_highest_term_determines_the_primary) {
--- a/src/fleet/tests/server_directory_test.cpp
+++ b/src/fleet/tests/server_directory_test.cpp
@@ -52,6 +52,19 @@
     EXPECT_EQ(m_directory->servers().size(), 1U);
 }
 
+// Guards against a promotion that does not ask a replica which only lost its entry, and against one
+// that waits for ever for a replica that has ended.
+TEST_F(server_directory_test, removed_servers_are_known_for_a_while) {
+    m_directory->replace({make("a", 1), make("b", 2), make("c", 2)}, rev(2), at(1s));
+    m_directory->remove(server_name("a"), rev(3), at(20s));
+    m_directory->remove(server_name("b"), rev(4), at(20s));
+    m_directory->update(make("b", 5), rev(5), at(21s));
+    const auto removed = m_directory->removed_since(at(10s));
+    ASSERT_EQ(removed.size(), 1U);
+    EXPECT_EQ(removed.front().id, server_name("a"));
+    EXPECT_TRUE(m_directory->removed_since(at(20s)).empty());
+}
+
 // Guards against a removed server that reappears because another instance sent an older list.
 TEST_F(server_directory_test, older_list_changes_nothing) {
     m_directory->replace({make("a", 1)}, rev(9), at(1s));
--- a/tests/process/synchronous_replicas_test.py
+++ b/tests/process/synchronous_replicas_test.py
@@ -62,6 +62,16 @@
         self.holder.dark = False
         self.assert_promoted_has_the_commit()
 
+    # Guards against the same for a replica that has lost its entry in the store, but still receives
+    # and acknowledges commits.
+    def test_commits_of_a_replica_without_an_entry_are_kept(self):
+        self.write_to_holder_only()
+        self.platform.call(self.platform.store.put, "servers", self.holder.id, None)
+        time.sleep(0.5)
+        self.run_until_done(self.writer, "WRITE b one")
+        self.crash(self.primary)
+        self.assert_promoted_has_the_commit()
+
 
 if __name__ == "__main__":
     unittest.main()
