Pause the replicas before the primary of a synchronous service is replaced

What callers saw: with synchronous replicas a change of primary rolled back acknowledged commits (LOST).

Cause: the replicas were asked for their logs, and the longest was promoted some hundred milliseconds later. A primary that was only silent for a while, or that other instances still reach, goes on to get commits acknowledged meanwhile, by a replica that is not promoted. Check and use were two steps with nothing between them that holds.

Where commits need replicas and the primary is not known to have stepped down, each replica is now told to receive nothing before its log counts (PAUSE with a term above all that are known; the promotion ends it). If the primary turns out to lead after all and no instance orders a promotion within a second, they are told to receive again.

A promotion that the platform refuses: writes are acknowledged again. Services without synchronous replicas are asked as before.

--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -26,6 +26,9 @@
 /// pause between them.
 constexpr int catch_up_attempts = 6;
 constexpr clock::duration catch_up_pause = 60ms;
+/// Time without a new promotion order after which replicas that a change has paused receive again.
+/// An instance that has paused them for a promotion writes its order within this time.
+constexpr clock::duration resume_pause = 1s;
 /// A server that the platform refused to promote is not considered again for this long.
 constexpr clock::duration refused_target_retry_delay = 2s;
 /// Pause between attempts while another instance holds the promotion lease, which it obtained with
@@ -144,6 +147,9 @@
         const bool primary_answers = co_await still_leads(change.from);
         if (primary_answers) {
             // Only the open connections to it carry nothing any more.
+            if (change.synchronous_replicas > 0) {
+                co_await resume_replicas(last.service, change, last.fence);
+            }
             co_return "primary_answers";
         }
     }
@@ -160,7 +166,8 @@
         }
     } else if (change.reason == fleet::change_reason::planned && !change.from.empty()) {
         const auto result = co_await step_down_old_primary(order.service, change, order.target);
-        if (!result.caught_up && change.synchronous_replicas > 0) {
+        const bool complete = co_await has_all_commits(change, order, result);
+        if (!complete) {
             log_outcome(order.service, "target_lacks_commits");
             co_return;
         }
@@ -265,6 +272,16 @@
     co_return status && status->primary;
 }
 
+asio::awaitable<void> primary_changer::resume_replicas(service_name service,
+                                                       fleet::primary_change change,
+                                                       std::uint64_t seen_fence) {
+    co_await pause(m_executor, resume_pause);
+    const auto order = co_await m_orders.newest(std::move(service));
+    if (order.fence == seen_fence) {
+        co_await m_survey.resume(std::move(change));
+    }
+}
+
 asio::awaitable<std::optional<server_name>>
 primary_changer::choose_target(fleet::primary_change change, fleet::promotion_order last) {
     if (m_fleet.leases_needed() && last.target == change.from &&
@@ -278,10 +295,30 @@
         }
     }
     const int synchronous_replicas = change.synchronous_replicas;
-    const auto logs = co_await m_survey.ask(std::move(change));
+    std::vector<fleet::replica_log> logs;
+    if (change.reason == fleet::change_reason::lost) {
+        logs = co_await m_survey.ask_and_pause(last.service, std::move(change));
+    } else {
+        logs = co_await m_survey.ask(std::move(change));
+    }
     co_return fleet::choose_longest_log(logs, synchronous_replicas);
 }
 
+asio::awaitable<bool> primary_changer::has_all_commits(fleet::primary_change change,
+                                                       fleet::promotion_order order,
+                                                       step_down_result stepped_down) {
+    if (change.synchronous_replicas == 0) {
+        co_return true;
+    }
+    if (stepped_down.stopped) {
+        co_return stepped_down.caught_up;
+    }
+    // The old primary may go on to acknowledge commits.
+    const int synchronous_replicas = change.synchronous_replicas;
+    const auto logs = co_await m_survey.ask_and_pause(order.service, std::move(change));
+    co_return fleet::choose_longest_log(logs, synchronous_replicas) == order.target;
+}
+
 asio::awaitable<primary_changer::step_down_result>
 primary_changer::step_down_old_primary(service_name service, fleet::primary_change change,
                                        server_name target) {
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -68,8 +68,17 @@
     find_obstacle(const fleet::primary_change& change, const fleet::promotion_order& last);
     /// Asks the server, over a new connection, whether it is the primary.
     [[nodiscard]] boost::asio::awaitable<bool> still_leads(server_name server);
+    /// Lets replicas that a change of primary has paused receive again, unless an instance has
+    /// ordered a promotion since the order with the token `seen_fence`.
+    [[nodiscard]] boost::asio::awaitable<void>
+    resume_replicas(service_name service, fleet::primary_change change, std::uint64_t seen_fence);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
     choose_target(fleet::primary_change change, fleet::promotion_order last);
+    /// Whether the order's target has every commit that the old primary has acknowledged or may
+    /// still acknowledge.
+    [[nodiscard]] boost::asio::awaitable<bool> has_all_commits(fleet::primary_change change,
+                                                               fleet::promotion_order order,
+                                                               step_down_result stepped_down);
     [[nodiscard]] boost::asio::awaitable<step_down_result>
     step_down_old_primary(service_name service, fleet::primary_change change, server_name target);
     void log_outcome(const service_name& service, std::string_view outcome);
--- a/src/entry/internal/replica_survey.cpp
+++ b/src/entry/internal/replica_survey.cpp
@@ -17,9 +17,10 @@
 /// primary is lost.
 constexpr clock::duration query_timeout = 300ms;
 
-server_command make_command(command_kind kind) {
+server_command make_command(command_kind kind, std::uint64_t term = 0) {
     server_command command;
     command.kind = kind;
+    command.term = term;
     return command;
 }
 
@@ -36,6 +37,25 @@
     co_return std::move(answered.logs);
 }
 
+asio::awaitable<std::vector<fleet::replica_log>>
+replica_survey::ask_and_pause(service_name service, fleet::primary_change change) {
+    if (change.synchronous_replicas == 0) {
+        co_return co_await ask(std::move(change));
+    }
+    const auto asked = co_await send(replicas_of(change), make_command(command_kind::status));
+    const auto term = std::max(m_fleet.primary_monitor_of(service).term(), asked.highest_term) + 1;
+    auto paused =
+        co_await send(replicas_of(change), make_command(command_kind::pause_receiving, term));
+    auto old = co_await ask_old_primary(std::move(change));
+    std::move(old.begin(), old.end(), std::back_inserter(paused.logs));
+    co_return std::move(paused.logs);
+}
+
+asio::awaitable<void> replica_survey::resume(fleet::primary_change change) {
+    static_cast<void>(
+        co_await send(replicas_of(change), make_command(command_kind::resume_receiving)));
+}
+
 std::vector<replica_survey::replica>
 replica_survey::replicas_of(const fleet::primary_change& change) const {
     std::vector<replica> replicas;
@@ -83,6 +103,7 @@
                 co_await m_queries.query(server, m_fleet.any_account(), command, query_timeout);
             if (status) {
                 log.received = status->received;
+                result.highest_term = std::max(result.highest_term, status->term);
             }
         }
         result.logs.push_back(std::move(log));
--- a/src/entry/internal/replica_survey.h
+++ b/src/entry/internal/replica_survey.h
@@ -27,6 +27,15 @@
     [[nodiscard]] boost::asio::awaitable<std::vector<fleet::replica_log>>
     ask(fleet::primary_change change);
 
+    /// As ask(), and stops the replicas that answer from receiving, until a promotion or resume():
+    /// a primary that is not lost after all gets no commit acknowledged by them any more. Pauses
+    /// none where commits need no replica.
+    [[nodiscard]] boost::asio::awaitable<std::vector<fleet::replica_log>>
+    ask_and_pause(service_name service, fleet::primary_change change);
+
+    /// Lets the replicas receive again.
+    [[nodiscard]] boost::asio::awaitable<void> resume(fleet::primary_change change);
+
 private:
     struct replica {
         fleet::registered_server server;
@@ -37,6 +46,7 @@
 
     struct answers {
         std::vector<fleet::replica_log> logs;
+        std::uint64_t highest_term = 0;
 
         friend bool operator==(const answers&, const answers&) = default;
     };
--- a/src/sessions/types/server_command.h
+++ b/src/sessions/types/server_command.h
@@ -22,7 +22,9 @@
     caller_statement, ///< a caller's statement, with text and id as the caller sent them
     execute,          ///< a caller's execute, with the name that the statement has at the server
     status,           ///< queries the server's role, term and log position
-    step_down         ///< makes a primary give up its role before a planned change
+    step_down,        ///< makes a primary give up its role before a planned change
+    pause_receiving,  ///< stops a replica from receiving until a promotion or resume_receiving
+    resume_receiving
 };
 
 /// One message to a backend server.
@@ -33,7 +35,8 @@
     std::string text;         ///< the session value, or the caller's statement text or argument
     prepared_statement shape; ///< the statement that a prepare command prepares
     std::optional<machines::log_position> after; ///< log position that the server must have reached
-    std::uint64_t term = 0; ///< for a step_down: term in which another server will be primary
+    /// For step_down and pause_receiving: term in which another server will be primary.
+    std::uint64_t term = 0;
 
     friend bool operator==(const server_command&, const server_command&) = default;
 };
@@ -42,7 +45,7 @@
 /// rollback are allowed.
 enum class transaction_state { none, open, failed };
 
-/// A server's answer to a status or step_down command.
+/// A server's answer to a status, step_down, pause_receiving or resume_receiving command.
 struct server_status {
     bool primary = false;
     std::uint64_t term = 0;
@@ -58,7 +61,7 @@
     std::string signature; ///< server's signature for a statement that ran, or an error text
     transaction_state state = transaction_state::none;
     std::optional<machines::log_position> position; ///< log position that the server's data reflect
-    std::optional<server_status> status;            ///< set in answers to a status or step_down
+    std::optional<server_status> status;            ///< set in answers that are a server_status
 
     friend bool operator==(const server_answer&, const server_answer&) = default;
 };
--- a/tests/process/synchronous_replicas_test.py
+++ b/tests/process/synchronous_replicas_test.py
@@ -1,11 +1,17 @@
 """Tests of changes of primary where commits are acknowledged once one replica has received them: the
 promoted server must have every acknowledged commit."""
 
+import threading
 import time
 import unittest
 
 from platform_fixtures import PlatformTest
 
+# Longer than the time until a silent primary counts as lost.
+SILENT_S = 0.75
+PROMOTION_DELAY_S = 0.6
+WRITERS = 4
+
 
 class SynchronousReplicasTest(PlatformTest):
     sync_replicas = 1
@@ -72,6 +78,55 @@
         self.crash(self.primary)
         self.assert_promoted_has_the_commit()
 
+    # Guards against commits that are acknowledged after the replicas were asked for their logs, by a
+    # primary that was only silent for a while, and are lost when the promotion takes effect.
+    def test_commits_that_are_acknowledged_during_a_change_of_primary_are_kept(self):
+        self.platform.promotion_delay_s = PROMOTION_DELAY_S
+        acknowledged, stopped = [], threading.Event()
+
+        def write_until_stopped(number):
+            session = self.session("newest", index=number % len(self.instances))
+            count = 0
+            while not stopped.is_set():
+                count += 1
+                if session.run(f"WRITE c{number} {number}-{count}").error is None:
+                    acknowledged.append(f"{number}-{count}")
+
+        writers = [threading.Thread(target=write_until_stopped, args=(number,))
+                   for number in range(WRITERS)]
+        for writer in writers:
+            writer.start()
+        time.sleep(0.5)
+        self.primary.dark = True
+        for replica in (self.holder, self.other):
+            replica.receiving = False
+        time.sleep(SILENT_S)
+        # Only one replica receives again, so that a promotion of the other one loses what follows.
+        self.replica_that_is_not_promoted().receiving = True
+        self.primary.dark = False
+        self.wait(self.promoted, "a change of primary")
+        time.sleep(1.0)
+        stopped.set()
+        for writer in writers:
+            writer.join()
+        kept = {data for _, _, data in self.platform.database.leader.log}
+        self.assertEqual([data for data in acknowledged if data not in kept], [])
+
+    # Guards against replicas that receive nothing any more, so that no commit is acknowledged, because
+    # a change of primary stopped them and was not completed.
+    def test_replicas_receive_again_when_the_primary_is_not_replaced(self):
+        self.platform.refuses_promotions = True
+        self.primary.dark = True
+        self.wait(lambda: self.writer.run("READ a") and self.holder.paused, "a change of primary")
+        self.primary.dark = False
+        self.run_until_done(self.writer, "WRITE a two")
+        self.assertEqual(self.run_until_done(self.session("newest"), "READ a").rows, ["two"])
+        self.assertFalse(self.promoted())
+
+    def replica_that_is_not_promoted(self):
+        """Of equal logs, that of the server that is listed first is chosen."""
+        return self.other
+
 
 if __name__ == "__main__":
     unittest.main()
