Let the soak run with many instances

--instances N, each with two proxies. Ports come from further blocks once a process has used its own.

--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -11,8 +11,9 @@
 from platform_fixtures import LOOPBACK, ROOT, STOP_GRACE_S, Platform, free_port
 from oriole_site.http import fetch_status, put_json
 
-# Zone of each instance. The platform stand-in has one backend server in each of the zones.
+# Zones of the instances, in turn. The platform stand-in has one backend server in each of them.
 ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c")
+DEFAULT_INSTANCES = len(ZONES)
 RATE = 200
 BURST = 200
 COLLECT_INTERVAL_S = 0.02
@@ -127,7 +128,8 @@
 
 
 class Site:
-    def __init__(self, history, work_dir, build, work_s=0.0, stop_grace_s=STOP_GRACE_S):
+    def __init__(self, history, work_dir, build, instances=DEFAULT_INSTANCES, work_s=0.0,
+                 stop_grace_s=STOP_GRACE_S):
         """`work_s` is the time that a server takes for each request."""
         self.history = history
         self.platform = Platform(RATE, BURST)
@@ -135,8 +137,8 @@
         for server in self.servers:
             server.work_s = work_s
         self.server_proxies = {server.id: Proxy(build, [server.port]) for server in self.servers}
-        self.instances = [Instance(number, zone, work_dir, build)
-                          for number, zone in enumerate(ZONES)]
+        self.instances = [Instance(number, ZONES[number % len(ZONES)], work_dir, build)
+                          for number in range(instances)]
         self.store_proxies = {}
         self.peer_proxies = {}
         for instance in self.instances:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 from history import History
 from judge import judge
 from planned_work import PlannedWork
-from site_under_soak import BURST, RATE, ROOT, Site
+from site_under_soak import BURST, DEFAULT_INSTANCES, RATE, ROOT, Site
 
 CALLERS = 12
 MAX_ACTIVE_FAULTS = 3
@@ -36,7 +36,8 @@
         self.work_dir = tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-")
         self.history = History()
         site_options.setdefault("work_s", SERVER_WORK_S if options.planned_work else 0.0)
-        self.site = Site(self.history, self.work_dir, options.build, **site_options)
+        self.site = Site(self.history, self.work_dir, options.build, options.instances,
+                         **site_options)
         self.random = random.Random(seed)
         kinds = PlannedWork if options.planned_work else Faults
         self.faults = kinds(self.site, self.random, options.store_restores)
@@ -139,6 +140,8 @@
     parser.add_argument("--planned-work", action="store_true",
                         help="inject planned work and troubles around a start only; no request may "
                              "then be cut off")
+    parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES,
+                        help="number of instances, each with two proxies")
     parser.add_argument("--build", default=os.environ.get("ORIOLE_BUILD",
                                                           os.path.join(ROOT, "build")))
     return parser.parse_args(arguments)
--- a/tools/oriole_site/processes.py
+++ b/tools/oriole_site/processes.py
@@ -14,19 +14,20 @@
 
 
 # Ports are below the system's ephemeral range, because any process may be given an ephemeral port
-# for an outgoing connection. Test processes that run in parallel search different blocks, chosen by
-# process id.
+# for an outgoing connection. Test processes that run in parallel start in different blocks, chosen by
+# process id; only a large site needs more than one block.
 FIRST_PORT = 10000
 PORT_BLOCKS = 200
 PORTS_PER_BLOCK = 100
+PORTS = PORT_BLOCKS * PORTS_PER_BLOCK
 _next_port = itertools.count()
 
 
 def free_port():
     """A TCP port on loopback that was free when checked; another process may still take it."""
-    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
-    for _ in range(PORTS_PER_BLOCK):
-        port = first + next(_next_port) % PORTS_PER_BLOCK
+    first = os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
+    for _ in range(PORTS):
+        port = FIRST_PORT + (first + next(_next_port)) % PORTS
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -34,7 +35,7 @@
             except OSError:
                 continue
             return port
-    raise RuntimeError(f"no free port among the {PORTS_PER_BLOCK} ports from {first}")
+    raise RuntimeError(f"no free port among the {PORTS} ports from {FIRST_PORT}")
 
 
 def address(port):
