Let a draining primary hand over while another server is down

Cause: the rule for lost primaries, that too many silent replicas prevent the choice, was used for planned changes too. There the old primary steps down and tells what the target must have received, so silent replicas do not matter.

A primary that still leads now hands over to the longest log that answered, and the promotion is sent only once the target has caught up, with leased primaries too. The log of a primary that has stepped down to this instance is complete, so it makes up for silent replicas.

--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -49,8 +49,10 @@
       m_orders(orders),
       m_authority(authority),
       m_queries(m_executor, connector, log),
-      m_survey(m_fleet, m_queries,
-               [this](const server_name& server) { return m_refused_until.contains(server); }),
+      m_survey(
+          m_fleet, m_queries,
+          [this](const server_name& server) { return m_refused_until.contains(server); },
+          [this](const server_name& server) { return m_stepped_down.contains(server); }),
       m_leases(leases),
       m_log(log),
       m_promotions(metrics.get("oriole_promotions_total")),
@@ -159,9 +161,9 @@
 asio::awaitable<void> primary_changer::promote_target(fleet::primary_change change,
                                                       fleet::promotion_order order) {
     if (m_fleet.leases_needed()) {
-        const bool ended = co_await end_leases(change, order);
-        if (!ended) {
-            log_outcome(order.service, "superseded");
+        const auto obstacle = co_await end_leases(change, order);
+        if (!obstacle.empty()) {
+            log_outcome(order.service, obstacle);
             co_return;
         }
     } else if (change.reason == fleet::change_reason::planned && !change.from.empty()) {
@@ -189,6 +191,7 @@
             .add("fence", order.fence)
             .add("outcome", accepted ? "accepted" : "refused"));
     if (accepted) {
+        m_stepped_down.erase(change.from);
         m_fleet.primary_monitor_of(order.service).promoted(order.target);
     } else {
         m_refused_until[order.target] = steady_clock().now() + refused_target_retry_delay;
@@ -199,8 +202,8 @@
     m_on_change();
 }
 
-asio::awaitable<bool> primary_changer::end_leases(fleet::primary_change change,
-                                                  fleet::promotion_order order) {
+asio::awaitable<std::string_view> primary_changer::end_leases(fleet::primary_change change,
+                                                              fleet::promotion_order order) {
     m_fleet.record_issued_order(order, steady_clock().now());
     m_fleet.learn_order(order);
     m_on_change();
@@ -208,6 +211,10 @@
     if (change.reason == fleet::change_reason::planned && !change.from.empty()) {
         const auto result = co_await step_down_old_primary(order.service, change, order.target);
         *stopped = result.stopped;
+        const bool complete = co_await has_all_commits(change, order, result);
+        if (!complete) {
+            co_return "target_lacks_commits";
+        }
     } else if (!change.from.empty() && change.from != order.target) {
         // The old primary seems lost, but it may only be unreachable for some instances.
         asio::co_spawn(m_executor, step_down_old_primary(order.service, change, order.target),
@@ -220,7 +227,7 @@
     }
     std::function<bool()> old_primary_stopped = [stopped] { return *stopped; };
     const bool revoked = co_await m_leases.revoke(std::move(order), std::move(old_primary_stopped));
-    co_return revoked;
+    co_return revoked ? std::string_view() : "superseded";
 }
 
 asio::awaitable<std::optional<promotion_result>>
@@ -258,8 +265,9 @@
     server_command command;
     command.kind = kind;
     command.term = term;
-    co_return co_await m_queries.query(*known, m_fleet.any_account(), std::move(command),
-                                       step_timeout);
+    const auto result =
+        co_await m_queries.query(*known, m_fleet.any_account(), std::move(command), step_timeout);
+    co_return result.status;
 }
 
 asio::awaitable<bool> primary_changer::still_leads(server_name server) {
@@ -295,13 +303,24 @@
         }
     }
     const int synchronous_replicas = change.synchronous_replicas;
-    std::vector<fleet::replica_log> logs;
-    if (change.reason == fleet::change_reason::lost) {
-        logs = co_await m_survey.ask_and_pause(last.service, std::move(change));
-    } else {
-        logs = co_await m_survey.ask(std::move(change));
+    if (synchronous_replicas > 0) {
+        const bool hands_over = co_await can_hand_over(change);
+        if (!hands_over) {
+            const auto logs = co_await m_survey.ask_and_pause(last.service, std::move(change));
+            co_return fleet::choose_longest_log(logs, synchronous_replicas);
+        }
     }
-    co_return fleet::choose_longest_log(logs, synchronous_replicas);
+    // A primary that hands over tells which commits the target has to have.
+    const auto logs = co_await m_survey.ask(std::move(change));
+    co_return fleet::choose_longest_log(logs, 0);
+}
+
+asio::awaitable<bool> primary_changer::can_hand_over(const fleet::primary_change& change) {
+    if (change.reason != fleet::change_reason::planned) {
+        co_return false;
+    }
+    const auto status = co_await query_server(change.from, command_kind::status, 0, query_timeout);
+    co_return status && status->primary;
 }
 
 asio::awaitable<bool> primary_changer::has_all_commits(fleet::primary_change change,
@@ -326,6 +345,7 @@
     auto old = co_await query_server(change.from, command_kind::status, 0, query_timeout);
     if (!old || !old->primary) {
         result.stopped = old.has_value();
+        // If it has stepped down before, the target was chosen by its log.
         co_return result;
     }
     const auto next_term = std::max(old->term, m_fleet.primary_monitor_of(service).term()) + 1;
@@ -335,6 +355,9 @@
         old = stepped;
     }
     result.stopped = stepped && !stepped->primary;
+    if (result.stopped) {
+        m_stepped_down.insert(change.from);
+    }
     result.caught_up = false;
     // The commits that the old primary has acknowledged are safe once the target has received the
     // old primary's log.
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -51,10 +51,10 @@
     /// Precondition: the order is stored, and its `holder` is this instance.
     [[nodiscard]] boost::asio::awaitable<void> promote_target(fleet::primary_change change,
                                                               fleet::promotion_order order);
-    /// Makes sure that the previous primary is no longer used. Returns false when the order must
-    /// not be carried out. Precondition: leases are needed.
-    [[nodiscard]] boost::asio::awaitable<bool> end_leases(fleet::primary_change change,
-                                                          fleet::promotion_order order);
+    /// Makes sure that the previous primary is no longer used. Returns why the order must not be
+    /// carried out, as an outcome to log; empty when it may. Precondition: leases are needed.
+    [[nodiscard]] boost::asio::awaitable<std::string_view> end_leases(fleet::primary_change change,
+                                                                      fleet::promotion_order order);
     /// Sends the promotion. Where leases are needed, repeats it until it is answered: an unanswered
     /// promotion may still take effect later, after that of another server. Returns nullopt when a
     /// newer order exists meanwhile.
@@ -74,6 +74,8 @@
     resume_replicas(service_name service, fleet::primary_change change, std::uint64_t seen_fence);
     [[nodiscard]] boost::asio::awaitable<std::optional<server_name>>
     choose_target(fleet::primary_change change, fleet::promotion_order last);
+    /// Whether the change is planned and the old primary still leads.
+    [[nodiscard]] boost::asio::awaitable<bool> can_hand_over(const fleet::primary_change& change);
     /// Whether the order's target has every commit that the old primary has acknowledged or may
     /// still acknowledge.
     [[nodiscard]] boost::asio::awaitable<bool> has_all_commits(fleet::primary_change change,
@@ -96,6 +98,8 @@
     std::set<service_name> m_changes_in_progress;
     /// Time until which a server that the platform refused to promote is not considered again.
     std::map<server_name, clock::time_point> m_refused_until;
+    /// Primaries that have stepped down for a change that is not completed yet.
+    std::set<server_name> m_stepped_down;
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/replica_survey.cpp
+++ b/src/entry/internal/replica_survey.cpp
@@ -27,8 +27,11 @@
 } // namespace
 
 replica_survey::replica_survey(fleet_state& fleet, server_queries& queries,
-                               std::function<bool(const server_name&)> is_refused)
-    : m_fleet(fleet), m_queries(queries), m_is_refused(std::move(is_refused)) {}
+                               server_predicate is_refused, server_predicate has_stepped_down)
+    : m_fleet(fleet),
+      m_queries(queries),
+      m_is_refused(std::move(is_refused)),
+      m_has_stepped_down(std::move(has_stepped_down)) {}
 
 asio::awaitable<std::vector<fleet::replica_log>> replica_survey::ask(fleet::primary_change change) {
     auto answered = co_await send(replicas_of(change), make_command(command_kind::status));
@@ -46,6 +49,12 @@
     const auto term = std::max(m_fleet.primary_monitor_of(service).term(), asked.highest_term) + 1;
     auto paused =
         co_await send(replicas_of(change), make_command(command_kind::pause_receiving, term));
+    for (std::size_t i = 0; i < paused.logs.size(); ++i) {
+        if (paused.rejected[i]) {
+            // It cannot be paused, or it has ended since it was asked.
+            paused.logs[i].received = asked.logs[i].received;
+        }
+    }
     auto old = co_await ask_old_primary(std::move(change));
     std::move(old.begin(), old.end(), std::back_inserter(paused.logs));
     co_return std::move(paused.logs);
@@ -85,10 +94,11 @@
     if (change.synchronous_replicas == 0 || !server) {
         co_return logs;
     }
-    const auto status = co_await m_queries.query(*server, m_fleet.any_account(),
+    const auto answer = co_await m_queries.query(*server, m_fleet.any_account(),
                                                  make_command(command_kind::status), query_timeout);
-    if (status && !status->primary) {
-        logs.push_back({change.from, true, status->received});
+    if (answer.status && !answer.status->primary) {
+        logs.push_back(
+            {change.from, true, answer.status->received, m_has_stepped_down(change.from)});
     }
     co_return logs;
 }
@@ -97,16 +107,19 @@
                                                               server_command command) {
     answers result;
     for (const auto& [server, is_leaving] : replicas) {
-        fleet::replica_log log{server.id, is_leaving, std::nullopt};
+        fleet::replica_log log{server.id, is_leaving, std::nullopt, false};
+        bool rejected = false;
         if (!m_is_refused(server.id)) {
-            const auto status =
+            const auto answer =
                 co_await m_queries.query(server, m_fleet.any_account(), command, query_timeout);
-            if (status) {
-                log.received = status->received;
-                result.highest_term = std::max(result.highest_term, status->term);
+            if (answer.status) {
+                log.received = answer.status->received;
+                result.highest_term = std::max(result.highest_term, answer.status->term);
             }
+            rejected = answer.rejected;
         }
         result.logs.push_back(std::move(log));
+        result.rejected.push_back(rejected);
     }
     co_return result;
 }
--- a/src/entry/internal/replica_survey.h
+++ b/src/entry/internal/replica_survey.h
@@ -17,10 +17,13 @@
 /// thread-safe; runs on the control thread.
 class replica_survey {
 public:
+    using server_predicate = std::function<bool(const server_name&)>;
+
     /// `is_refused` tells whether the platform has just refused to promote a server; it counts as
-    /// one that does not answer.
-    replica_survey(fleet_state& fleet, server_queries& queries,
-                   std::function<bool(const server_name&)> is_refused);
+    /// one that does not answer. `has_stepped_down` tells whether a server has given up its role as
+    /// primary to this instance, and no other has been promoted since.
+    replica_survey(fleet_state& fleet, server_queries& queries, server_predicate is_refused,
+                   server_predicate has_stepped_down);
 
     /// The logs of the candidates and, with synchronous replicas, of all others that may have the
     /// only copy of a commit, preferred ones first.
@@ -29,7 +32,7 @@
 
     /// As ask(), and stops the replicas that answer from receiving, until a promotion or resume():
     /// a primary that is not lost after all gets no commit acknowledged by them any more. Pauses
-    /// none where commits need no replica.
+    /// none where commits need no replica. A replica that has no such command is asked only.
     [[nodiscard]] boost::asio::awaitable<std::vector<fleet::replica_log>>
     ask_and_pause(service_name service, fleet::primary_change change);
 
@@ -46,6 +49,7 @@
 
     struct answers {
         std::vector<fleet::replica_log> logs;
+        std::vector<bool> rejected; ///< by log: whether the server has no such command
         std::uint64_t highest_term = 0;
 
         friend bool operator==(const answers&, const answers&) = default;
@@ -55,14 +59,14 @@
     [[nodiscard]] std::vector<replica> replicas_of(const fleet::primary_change& change) const;
     [[nodiscard]] boost::asio::awaitable<answers> send(std::vector<replica> replicas,
                                                        sessions::server_command command);
-    /// The log of an old primary that has stepped down: it has all commits, but is no replica that
-    /// acknowledged them. Empty otherwise.
+    /// The log of an old primary that is no primary any more. Empty otherwise.
     [[nodiscard]] boost::asio::awaitable<std::vector<fleet::replica_log>>
     ask_old_primary(fleet::primary_change change);
 
     fleet_state& m_fleet;
     server_queries& m_queries;
-    std::function<bool(const server_name&)> m_is_refused;
+    server_predicate m_is_refused;
+    server_predicate m_has_stepped_down;
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/server_queries.cpp
+++ b/src/entry/internal/server_queries.cpp
@@ -14,11 +14,12 @@
                                decision_log& log)
     : m_executor(std::move(executor)), m_connector(connector), m_log(log) {}
 
-asio::awaitable<std::optional<sessions::server_status>>
-server_queries::query(fleet::registered_server server, account_name account, server_command command,
-                      clock::duration step_timeout) {
+asio::awaitable<query_result> server_queries::query(fleet::registered_server server,
+                                                    account_name account, server_command command,
+                                                    clock::duration step_timeout) {
     const auto channel = m_connector.make_channel(m_executor);
-    std::optional<sessions::server_status> status;
+    query_result result;
+    bool sent = false;
     std::string failure;
     try {
         connection_request request{server.address, server.service, std::move(account), server.id};
@@ -26,15 +27,27 @@
         if (opened.code == sessions::answer_code::ok) {
             std::vector<server_command> commands{std::move(command)};
             co_await channel->send(std::move(commands), step_timeout);
+            sent = true;
             const auto answer = co_await channel->receive(step_timeout);
-            status = answer.status;
+            result.status = answer.status;
+            result.rejected = answer.code == sessions::answer_code::malformed;
         }
+    } catch (const server_timeout& timeout) {
+        failure = timeout.what();
     } catch (const server_unreachable& unreachable) {
         failure = unreachable.what();
+        result.rejected = sent;
     }
     channel->close();
+    log_answer(server.id, result.status, failure);
+    co_return result;
+}
+
+void server_queries::log_answer(const server_name& server,
+                                const std::optional<sessions::server_status>& status,
+                                const std::string& failure) {
     log_entry line("server_status");
-    line.add("server", server.id.str()).add("outcome", status ? "answered" : "no_answer");
+    line.add("server", server.str()).add("outcome", status ? "answered" : "no_answer");
     if (status) {
         line.add("primary", status->primary ? 1 : 0)
             .add("term", status->term)
@@ -45,7 +58,6 @@
         line.add("reason", failure);
     }
     m_log.write(line);
-    co_return status;
 }
 
 } // namespace oriole::entry
--- a/src/entry/internal/server_queries.h
+++ b/src/entry/internal/server_queries.h
@@ -12,9 +12,19 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
+#include <string>
 
 namespace oriole::entry {
 
+/// A server's reaction to a command that returns a status row.
+struct query_result {
+    std::optional<sessions::server_status> status; ///< nullopt when there was none in time
+    /// The server closed the connection on the command, or answered that it has no such command.
+    bool rejected = false;
+
+    friend bool operator==(const query_result&, const query_result&) = default;
+};
+
 /// Sends commands that return a status row to backend servers, each over a connection of its own,
 /// so that the answer does not depend on connections that carry nothing any more. Not thread-safe;
 /// runs on the control thread.
@@ -24,12 +34,15 @@
                    decision_log& log);
 
     /// `step_timeout` limits each step: connecting, sending and receiving. Connects as `account`.
-    /// nullopt when the server did not answer with a status row in time.
-    [[nodiscard]] boost::asio::awaitable<std::optional<sessions::server_status>>
-    query(fleet::registered_server server, account_name account, sessions::server_command command,
-          clock::duration step_timeout);
+    [[nodiscard]] boost::asio::awaitable<query_result> query(fleet::registered_server server,
+                                                             account_name account,
+                                                             sessions::server_command command,
+                                                             clock::duration step_timeout);
 
 private:
+    void log_answer(const server_name& server, const std::optional<sessions::server_status>& status,
+                    const std::string& failure);
+
     boost::asio::any_io_executor m_executor;
     server_connector& m_connector;
     decision_log& m_log;
--- a/src/fleet/internal/promotion_choice.cpp
+++ b/src/fleet/internal/promotion_choice.cpp
@@ -9,7 +9,9 @@
     const bool synchronous = synchronous_replicas > 0;
     const auto unanswered = std::count_if(replicas.begin(), replicas.end(),
                                           [](const auto& replica) { return !replica.received; });
-    if (synchronous && unanswered >= synchronous_replicas) {
+    const bool complete_log_known = std::any_of(
+        replicas.begin(), replicas.end(), [](const auto& replica) { return replica.is_complete; });
+    if (synchronous && !complete_log_known && unanswered >= synchronous_replicas) {
         return std::nullopt;
     }
     const replica_log* best = nullptr;
--- a/src/fleet/promotion_choice.h
+++ b/src/fleet/promotion_choice.h
@@ -14,6 +14,8 @@
     bool is_leaving = false; ///< draining, or in an evacuated zone
     /// Position up to which it has received the primary's log; nullopt when it did not answer.
     std::optional<machines::log_position> received;
+    /// The log is that of a primary that has stepped down, so it has every acknowledged commit.
+    bool is_complete = false;
 
     friend bool operator==(const replica_log&, const replica_log&) = default;
 };
@@ -22,7 +24,8 @@
 /// replicas are considered only where a commit is acknowledged once `synchronous_replicas` replicas
 /// have received it, since one of them may have the only copy. nullopt when no replica may be
 /// promoted, because those that did not answer may have the only copies, or none answered.
-/// `replicas` lists all replicas of the service, preferred ones first. Thread-safe.
+/// If one of the logs is complete, those that did not answer do not matter. `replicas` lists all
+/// replicas of the service, preferred ones first. Thread-safe.
 [[nodiscard]] std::optional<server_name>
 choose_longest_log(const std::vector<replica_log>& replicas, int synchronous_replicas);
 
--- a/src/fleet/tests/promotion_choice_test.cpp
+++ b/src/fleet/tests/promotion_choice_test.cpp
@@ -14,7 +14,7 @@
 protected:
     static replica_log replica(const std::string& name, std::optional<std::uint64_t> received,
                                bool is_leaving = false) {
-        replica_log log{server_name(name), is_leaving, std::nullopt};
+        replica_log log{server_name(name), is_leaving, std::nullopt, false};
         if (received) {
             log.received = log_position(1, *received);
         }
@@ -48,6 +48,16 @@
     EXPECT_EQ(choose_longest_log(replicas, 2), server_name("a"));
 }
 
+// Guards against a service without a primary, because a server that is down is waited for although
+// a primary that has stepped down has all commits; and against a promotion that loses these.
+TEST_F(promotion_choice_test, complete_log_makes_up_for_silent_replicas) {
+    auto old_primary = replica("old", 6, true);
+    old_primary.is_complete = true;
+    const auto silent = replica("b", std::nullopt);
+    EXPECT_EQ(choose_longest_log({replica("a", 6), silent, old_primary}, 1), server_name("a"));
+    EXPECT_EQ(choose_longest_log({replica("a", 5), silent, old_primary}, 1), server_name("old"));
+}
+
 // Guards against any choice that lacks an acknowledged commit, whichever replicas received it and
 // whichever of them answer.
 RC_GTEST_FIXTURE_PROP(promotion_choice_test, chosen_replica_has_every_acknowledged_commit, ()) {
--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -46,7 +46,8 @@
     `work_s` is the time that each request takes.
 
     Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, without
-    `receiving` a replica receives no entries, and the next `lost_answers` requests that have an id are executed but not answered. `ran` records the
+    `receiving` a replica receives no entries, without `can_pause` PAUSE closes the connection, and
+    the next `lost_answers` requests that have an id are executed but not answered. `ran` records the
     executed statements as (request id, account, words, transaction state, session values)."""
 
     def __init__(self, database, server_id, zone):
@@ -58,6 +59,7 @@
         self.lag_s = 0.0
         self.dark = False
         self.receiving = True
+        self.can_pause = True
         self.paused = False  # told to receive nothing until the next promotion
         self.work_s = 0.0
         self.lost_answers = 0
@@ -287,6 +289,8 @@
         return f"DATAROW {row}\r\nCOMPLETE -\r\n"
 
     def do_pause(self, request_id, words):
+        if not self.server.can_pause:
+            raise ConnectionError("unknown command")
         if not self.server.is_leader and int(words[1]) > self.server.database.term:
             self.server.paused = True
         return self.do_status(request_id, words)
--- a/tests/process/synchronous_replicas_test.py
+++ b/tests/process/synchronous_replicas_test.py
@@ -49,6 +49,16 @@
         self.crash(self.primary)
         self.assert_promoted_has_the_commit()
 
+    # Guards against a draining primary that stays without a successor, because a server that is down
+    # is waited for: it leaves soon, and until then its writes are refused.
+    def test_draining_primary_hands_over_while_a_server_is_down(self):
+        self.test_commits_of_a_draining_replica_are_kept()
+        self.other.receiving = True
+        self.wait(lambda: self.writer.run("READ a") and self.platform.database.leader is self.other,
+                  "a primary that does not drain")
+        self.assertEqual(self.run_until_done(self.session("newest"), "READ a").rows, ["two"])
+        self.run_until_done(self.writer, "WRITE a three")
+
     # Guards against the same for a replica in an evacuated zone.
     def test_commits_of_a_replica_in_an_evacuated_zone_are_kept(self):
         self.platform.call(self.platform.store.put, "evacuations", self.holder.zone, {})
@@ -112,6 +122,14 @@
         kept = {data for _, _, data in self.platform.database.leader.log}
         self.assertEqual([data for data in acknowledged if data not in kept], [])
 
+    # Guards against a service that gets no primary, because its servers cannot be paused.
+    def test_replica_that_cannot_be_paused_is_promoted(self):
+        for server in (self.holder, self.other):
+            server.can_pause = False
+        self.write_to_holder_only()
+        self.crash(self.primary)
+        self.assert_promoted_has_the_commit()
+
     # Guards against replicas that receive nothing any more, so that no commit is acknowledged, because
     # a change of primary stopped them and was not completed.
     def test_replicas_receive_again_when_the_primary_is_not_replaced(self):
