Let an instance's watches of the store end in turn

What silences one connection has usually silenced the others. The watches now end in turn, one every 1.5 s (period 4.5 s), and the first that is not answered cancels the others, each of which is followed at once by a call that does not wait, on a new connection. So a silence of all connections is noticed as soon as before. A canceled call has an exception of its own; after a restore the followers ask again at once instead of after 400 ms.

The warnings of the stand-in's silent links at the end of a test are gone.

--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -33,6 +33,12 @@
     using store_unavailable::store_unavailable;
 };
 
+/// The call was ended by fleet_store::cancel_waits().
+class store_call_canceled : public store_timeout {
+public:
+    using store_timeout::store_timeout;
+};
+
 /// The store no longer keeps the changes since the given revision; the objects have to be listed
 /// again.
 class history_expired : public error {
@@ -103,7 +109,7 @@
     /// The last promotion order of each service.
     [[nodiscard]] virtual object_collection<fleet::promotion_order>& promotions() = 0;
 
-    /// Makes the calls of changes_since() that are waiting fail with store_unavailable.
+    /// Makes the calls of changes_since() that are waiting fail with store_call_canceled.
     virtual void cancel_waits() = 0;
 
     /// Creates or replaces the entry of an instance. Throws store_unavailable.
--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -22,6 +22,12 @@
 
 constexpr clock::duration flush_interval = 200ms;
 constexpr clock::duration registration_retry = 500ms;
+/// Within this time, one of the watches of the store ends. A change has to be in force within 3 s,
+/// which includes the time-out of the call that shows that connections have gone silent, and the
+/// time for the other instances to learn of the change.
+constexpr clock::duration watch_interval = 1500ms;
+/// Configurations, servers and evacuations.
+constexpr int store_watches = 3;
 /// After a restore of the store, the instances register again within this time for each of them, so
 /// that a large fleet stays below the store's limit of calls.
 constexpr clock::duration reregistration_time_per_instance = 5ms;
@@ -57,6 +63,7 @@
       m_metrics(metrics),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_renewal_timer(m_io),
+      m_watches(watch_interval, store_watches, steady_clock().now()),
       m_own(make_own(settings)),
       m_fleet(m_own, log,
               settings.fenced_promotions ? fleet::primary_leasing::not_needed
@@ -115,11 +122,16 @@
 
 template <class Value>
 void control_thread::follow(object_collection<Value>& kind, const std::string& name,
-                            typename store_follower<Value>::page_handler on_page) {
-    auto follower = std::make_shared<store_follower<Value>>(
-        m_io.get_executor(), kind, name, m_log, std::move(on_page),
-        [this](bool reachable) { on_store_health(reachable); },
-        [this] { return m_fleet.watches_store(steady_clock().now()); });
+                            page_handler<Value> on_page) {
+    const int watch = m_watches_started++;
+    typename store_follower<Value>::handlers handlers;
+    handlers.on_page = std::move(on_page);
+    handlers.on_health = [this](bool reachable) { on_store_health(reachable); };
+    handlers.wanted = [this] { return m_fleet.watches_store(steady_clock().now()); };
+    handlers.watch_wait = [this, watch] { return m_watches.wait(watch, steady_clock().now()); };
+    handlers.on_silence = [this] { m_store->cancel_waits(); };
+    auto follower = std::make_shared<store_follower<Value>>(m_io.get_executor(), kind, name, m_log,
+                                                            std::move(handlers));
     run_in_background("store_" + name, [follower] { return follower->run(); });
 }
 
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -10,6 +10,7 @@
 #include "entry/internal/promotion_orders.h"
 #include "entry/internal/store_follower.h"
 #include "entry/internal/traffic_thread.h"
+#include "entry/internal/watch_schedule.h"
 #include "links/admin_server.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -17,7 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <atomic>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -42,9 +43,12 @@
 
     void run_in_background(std::string name, task work);
 
+    template <class Value>
+    using page_handler = std::function<void(const store_page<Value>&, bool is_snapshot)>;
+
     template <class Value>
     void follow(object_collection<Value>& kind, const std::string& name,
-                typename store_follower<Value>::page_handler on_page);
+                page_handler<Value> on_page);
     void start_followers();
     [[nodiscard]] boost::asio::awaitable<void> maintain_registration();
     [[nodiscard]] boost::asio::awaitable<bool> register_once();
@@ -73,6 +77,8 @@
     boost::asio::io_context m_io;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_renewal_timer;
+    watch_schedule m_watches;
+    int m_watches_started = 0;
     fleet::registered_instance m_own;
     fleet_state m_fleet;
     std::unique_ptr<fleet_store> m_store;
--- a/src/entry/internal/store_follower.h
+++ b/src/entry/internal/store_follower.h
@@ -25,28 +25,32 @@
 template <class Value>
 class store_follower {
 public:
-    using page_handler = std::function<void(const store_page<Value>&, bool is_snapshot)>;
-    using health_handler = std::function<void(bool reachable)>;
-    using condition = std::function<bool()>;
-
-    /// `on_page` is called with each page of objects; its `is_snapshot` is true for a complete list
-    /// and false for changes. Pauses while `wanted` returns false. Precondition: the arguments
-    /// outlive run().
+    /// What the follower reports and asks for. Precondition: they outlive run().
+    struct handlers {
+        /// Called with each page of objects; `is_snapshot` is true for a complete list and false
+        /// for changes.
+        std::function<void(const store_page<Value>&, bool is_snapshot)> on_page;
+        std::function<void(bool reachable)> on_health;
+        std::function<bool()> wanted; ///< the follower pauses while it returns false
+        /// How long the next call may wait for changes.
+        std::function<clock::duration()> watch_wait;
+        /// Called when a watch was not answered, so that others like it do not wait any longer.
+        std::function<void()> on_silence;
+    };
+
+    /// Precondition: `kind` and `log` outlive run().
     store_follower(boost::asio::any_io_executor executor, object_collection<Value>& kind,
-                   std::string name, decision_log& log, page_handler on_page,
-                   health_handler on_health, condition wanted)
+                   std::string name, decision_log& log, handlers handlers_of_follower)
         : m_executor(std::move(executor)),
           m_kind(kind),
           m_name(std::move(name)),
           m_log(log),
-          m_on_page(std::move(on_page)),
-          m_on_health(std::move(on_health)),
-          m_should_follow(std::move(wanted)) {}
+          m_handlers(std::move(handlers_of_follower)) {}
 
     [[nodiscard]] boost::asio::awaitable<void> run() {
         bool tried = false;
         while (true) {
-            if (tried && !m_should_follow()) {
+            if (tried && !m_handlers.wanted()) {
                 // List again when watching resumes, to catch up on the changes in between.
                 m_revision.reset();
                 co_await pause();
@@ -73,10 +77,6 @@
 private:
     /// The store may reject its clients for seconds, and even a rejected call is charged.
     static constexpr std::chrono::milliseconds retry_pause{400};
-    /// Nothing tells a silent connection from a store without changes but the end of the wait. A
-    /// change has to be in force within 3 s, which includes the time-out of the call and the time
-    /// for the other instances to learn of the change.
-    static constexpr std::chrono::milliseconds watch_wait{1500};
 
     [[nodiscard]] boost::asio::awaitable<void> follow() {
         if (!m_revision) {
@@ -89,18 +89,18 @@
             set_reachable(true, "listed");
             m_revision = page.revision;
             log_page(page, "list");
-            m_on_page(page, true);
+            m_handlers.on_page(page, true);
             // After a start, the list of instances, which tells whether this one has to watch,
             // arrives about now. A watch that is not needed would wait for its whole time.
             co_await pause();
         }
-        while (m_should_follow()) {
+        while (m_handlers.wanted()) {
             const auto page = co_await next_changes();
             set_reachable(true, "changed");
             m_revision = page.revision;
             if (!page.objects.empty() || page.unreadable > 0) {
                 log_page(page, "changes");
-                m_on_page(page, false);
+                m_handlers.on_page(page, false);
             }
         }
     }
@@ -124,14 +124,21 @@
         co_return std::move(*page);
     }
 
-    /// nullopt when the watch was not answered.
+    /// nullopt when the watch was not answered or was canceled.
     [[nodiscard]] boost::asio::awaitable<std::optional<store_page<Value>>> wait_for_changes() {
         std::string failure;
+        bool canceled = false;
         try {
-            co_return co_await m_kind.changes_since(*m_revision, watch_wait);
+            co_return co_await m_kind.changes_since(*m_revision, m_handlers.watch_wait());
+        } catch (const store_call_canceled&) {
+            canceled = true;
         } catch (const store_timeout& unanswered) {
             failure = unanswered.what();
         }
+        if (canceled) {
+            co_return std::nullopt;
+        }
+        m_handlers.on_silence();
         m_log.write(log_entry("store_watch")
                         .add("kind", m_name)
                         .add("revision", to_string(*m_revision))
@@ -157,7 +164,7 @@
                             .add("reason", reason));
             m_reachable = reachable;
         }
-        m_on_health(reachable);
+        m_handlers.on_health(reachable);
     }
 
     [[nodiscard]] boost::asio::awaitable<void> pause() {
@@ -170,9 +177,7 @@
     object_collection<Value>& m_kind;
     std::string m_name;
     decision_log& m_log;
-    page_handler m_on_page;
-    health_handler m_on_health;
-    condition m_should_follow; ///< whether this instance has to watch the store
+    handlers m_handlers;
     /// Revision of the last page; nullopt when the objects have to be listed.
     std::optional<fleet::store_revision> m_revision;
     /// Whether the store is known to be still in the era of m_revision.
--- a/src/entry/tests/store_follower_test.cpp
+++ b/src/entry/tests/store_follower_test.cpp
@@ -24,7 +24,7 @@
 
 constexpr clock::duration watch_wait = 1500ms;
 
-enum class failure { unavailable, no_answer, history_gone };
+enum class failure { unavailable, no_answer, canceled, history_gone };
 
 /// A call that the follower made; `mode` is set for a list, `since` and `wait` for a watch.
 struct store_call {
@@ -71,6 +71,9 @@
             if (*failed == failure::unavailable) {
                 throw store_unavailable("scripted");
             }
+            if (*failed == failure::canceled) {
+                throw store_call_canceled("scripted");
+            }
             if (*failed == failure::no_answer) {
                 throw store_timeout("scripted");
             }
@@ -89,15 +92,18 @@
     static page empty_page(const store_revision& revision) { return {{}, revision, 0}; }
 
     void run() {
-        store_follower<evacuation> follower(
-            m_io.get_executor(), m_store, "evacuations", *m_log,
-            [this](const page& received, bool is_snapshot) {
-                m_snapshots.push_back(is_snapshot ? received.revision : store_revision());
-            },
-            [this](bool reachable) {
-                m_reported_lost = m_reported_lost || (!reachable && !m_io.stopped());
-            },
-            [] { return true; });
+        store_follower<evacuation>::handlers handlers;
+        handlers.on_page = [this](const page& received, bool is_snapshot) {
+            m_snapshots.push_back(is_snapshot ? received.revision : store_revision());
+        };
+        handlers.on_health = [this](bool reachable) {
+            m_reported_lost = m_reported_lost || (!reachable && !m_io.stopped());
+        };
+        handlers.wanted = [] { return true; };
+        handlers.watch_wait = [] { return watch_wait; };
+        handlers.on_silence = [this] { ++m_reported_silences; };
+        store_follower<evacuation> follower(m_io.get_executor(), m_store, "evacuations", *m_log,
+                                            std::move(handlers));
         asio::co_spawn(m_io, follower.run(), asio::detached);
         m_io.run();
     }
@@ -107,6 +113,7 @@
     std::unique_ptr<decision_log> m_log = make_decision_log(STDERR_FILENO);
     std::vector<store_revision> m_snapshots;
     bool m_reported_lost = false;
+    int m_reported_silences = 0;
 };
 
 // Guards against a watch that waits for a revision of the earlier era: after a loss of contact, the
@@ -163,6 +170,19 @@
     };
     EXPECT_EQ(m_store.calls(), expected);
     EXPECT_FALSE(m_reported_lost);
+    EXPECT_EQ(m_reported_silences, 1);
+}
+
+// Guards against a watch that goes on waiting on a silent connection although another one was found
+// silent, and against watches that cancel each other again and again.
+TEST_F(store_follower_test, canceled_watch_is_followed_at_once_and_cancels_no_other) {
+    m_store.answer(empty_page({1, 30}));
+    m_store.answer(empty_page({1, 30}));
+    m_store.answer(failure::canceled);
+    run();
+    ASSERT_EQ(m_store.calls().size(), 4U);
+    EXPECT_EQ(m_store.calls()[3], watched({1, 30}, 0s));
+    EXPECT_EQ(m_reported_silences, 0);
 }
 
 } // namespace
--- a/standins/users_platform/links.py
+++ b/standins/users_platform/links.py
@@ -62,7 +62,9 @@
             try:
                 await handler(link, link)
             finally:
-                links.discard(link)
+                # A silent link stays open until abort().
+                if not link.silent:
+                    links.discard(link)
 
         return serve_link
 
