--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -90,13 +90,13 @@
       m_admin(links::make_http_admin_server(m_io.get_executor(), settings.admin, *this)) {}
 
 void control_thread::run() {
+    m_admin->start();
+    m_traffic.start();
     m_log.write(log_entry("start")
                     .add("instance", m_own.id.str())
                     .add("zone", m_own.zone.str())
                     .add("incarnation", m_own.incarnation)
                     .add("version", ORIOLE_VERSION));
-    m_admin->start();
-    m_traffic.start();
     const stop_signal_delivery delivery;
     start_followers();
     run_in_background("registration", [this] { return maintain_registration(); });
