--- a/src/entry/internal/background_task.cpp
+++ b/src/entry/internal/background_task.cpp
@@ -43,7 +43,8 @@
 
 } // namespace
 
-void run_task(asio::any_io_executor executor, decision_log& log, std::string name, task work) {
+void run_task(const asio::any_io_executor& executor, decision_log& log, std::string name,
+              task work) {
     asio::co_spawn(executor, keep_running(executor, log, std::move(name), std::move(work)),
                    asio::detached);
 }
--- a/src/entry/internal/background_task.h
+++ b/src/entry/internal/background_task.h
@@ -19,7 +19,7 @@
 /// `name` and the task is started again after a pause, so that one unexpected error neither ends
 /// the process nor leaves it without the task. Ends when the task returns. Precondition: the log
 /// and what the task uses outlive the executor's context. Thread-safe.
-void run_task(boost::asio::any_io_executor executor, decision_log& log, std::string name,
+void run_task(const boost::asio::any_io_executor& executor, decision_log& log, std::string name,
               task work);
 
 /// Runs the context's handlers on the calling thread until the context is stopped. A handler that
--- a/src/links/internal/pooled_backend_pool.cpp
+++ b/src/links/internal/pooled_backend_pool.cpp
@@ -3,6 +3,7 @@
 #include "links/internal/pooled_transaction_link.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <glog/logging.h>
 
 #include <algorithm>
 
