Let the soak run with synchronous replicas

The check of recovery needs an answered write as well as a read, since an instance can answer reads with no primary.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -162,11 +162,20 @@
 
 def answers_reads(site, instance):
     """Whether the instance opens a new session and answers a read on it without an error."""
+    return answers(site, instance, "READ item0")
+
+
+def answers_writes(site, instance, number):
+    """As answers_reads(), for a write. `number` is another one for each call."""
+    return answers(site, instance, f"WRITE probe probe-{number}")
+
+
+def answers(site, instance, text):
     try:
         session = Session(instance.callers, "newest", site.platform.keys["kita"][0])
         try:
             site.history.expect(PROBE, None)
-            session.send(f"QUERY {PROBE} READ item0")
+            session.send(f"QUERY {PROBE} {text}")
             return session.greeting.startswith("READY") and session.answer().error is None
         finally:
             session.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -281,3 +281,54 @@
             self.release(zone)
 
         return end
+
+
+class SynchronousFaults(Faults):
+    """Faults that lead to changes of primary where a commit is acknowledged once a replica has
+    received it, with replicas that receive nothing for a while. As Faults, with sync_ methods."""
+
+    prefix = "sync_"
+
+    sync_server_crash = Faults.do_server_crash
+    sync_server_link_cut = Faults.do_server_link_cut
+    sync_zone_out = Faults.do_zone_out
+    sync_kill_and_restart = Faults.do_kill_and_restart
+    sync_pause = Faults.do_pause
+
+    def sync_replica_receives_nothing(self):
+        server = self.reserve(self.site.servers)
+        if server is None:
+            return None
+        server.receiving = False
+
+        def end():
+            server.receiving = True
+            self.release(server)
+
+        return end
+
+    def sync_entry_lost(self):
+        """A server that runs loses its entry in the store, as when it is cut off from the store."""
+        server = self.reserve(self.site.servers)
+        if server is None:
+            return None
+        platform = self.site.platform
+        platform.call(platform.store.put, "servers", server.id, None)
+
+        def end():
+            platform.call(platform.register, server)
+            self.release(server)
+
+        return end
+
+    def sync_silent_server(self):
+        server = self.reserve(self.site.servers)
+        if server is None:
+            return None
+        server.dark = True
+
+        def end():
+            server.dark = False
+            self.release(server)
+
+        return end
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -82,7 +82,7 @@
         self._lock = threading.Lock()
         self.statements = []
         self.runs = []
-        self.rolled_back = set()  # data of log entries that a promotion removed
+        self.rolled_back = set()  # data of log entries that a promotion may remove and has removed
         self.committed = []  # entries of the primary's log at the time of the snapshot
         self.fences = []  # fencing tokens of the accepted promotion orders
         self.withdrawn = []  # (time, key, account)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -200,10 +200,10 @@
 
 
 def check_recovery(history):
-    """Every instance answers reads again after the faults have ended."""
+    """Every instance answers reads and writes again after the faults have ended."""
     for instance, served in history.recovered.items():
         if not served:
-            yield f"instance {instance}: answers no read after the faults have ended"
+            yield f"instance {instance}: answers no read or no write after the faults have ended"
 
 
 def check_stops(history):
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -132,7 +132,7 @@
 
     def test_instance_that_does_not_recover_is_found(self):
         self.history.recovered = {"instance-0": False}
-        self.assertIn("answers no read", self.findings()[0])
+        self.assertIn("answers no read or no write", self.findings()[0])
 
     def test_stop_beyond_its_grace_is_found(self):
         self.history.planned_stops = [("instance-0", 1.0, None)]
--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -129,10 +129,10 @@
 
 class Site:
     def __init__(self, history, work_dir, build, instances=DEFAULT_INSTANCES, work_s=0.0,
-                 stop_grace_s=STOP_GRACE_S):
+                 stop_grace_s=STOP_GRACE_S, sync_replicas=0):
         """`work_s` is the time that a server takes for each request."""
         self.history = history
-        self.platform = Platform(RATE, BURST)
+        self.platform = Platform(RATE, BURST, sync_replicas=sync_replicas)
         self.servers = list(self.platform.database.servers.values())
         for server in self.servers:
             server.work_s = work_s
@@ -162,7 +162,8 @@
             longest = max((other.log for other in self.servers), key=len)
             kept = {data for _, _, data in server.log}
             promote(server)
-            self.history.rolled_back |= {data for _, _, data in longest if data not in kept}
+            if self.platform.sync_replicas == 0:
+                self.history.rolled_back |= {data for _, _, data in longest if data not in kept}
             self.resynchronize()
 
         async def put_with_proxies(kind, name, spec):
@@ -185,10 +186,11 @@
             await self.platform.register(server)
 
     def resynchronize(self):
-        """Copies the primary's log to all other servers that are not silent."""
+        """Copies the primary's log to all other servers that can receive it."""
         leader = self.platform.database.leader
         for server in self.servers:
-            if leader is not None and server is not leader and not server.dark:
+            receives = server.receiving and not server.paused and not server.dark
+            if leader is not None and server is not leader and receives:
                 server.log = list(leader.log)
                 now = time.monotonic()
                 server.received_at = (server.received_at + [now] * len(leader.log))[
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,6 +4,7 @@
 
 import argparse
 import collections
+import itertools
 import os
 import random
 import shutil
@@ -14,8 +15,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
                                 "process"))
 
-from callers import PAUSE_S, Caller, answers_reads
-from faults import Faults
+from callers import PAUSE_S, Caller, answers_reads, answers_writes
+from faults import Faults, SynchronousFaults
 from history import History
 from judge import judge
 from planned_work import PlannedWork
@@ -37,9 +38,11 @@
         self.history = History()
         site_options.setdefault("work_s", SERVER_WORK_S if options.planned_work else 0.0)
         self.site = Site(self.history, self.work_dir, options.build, options.instances,
-                         **site_options)
+                         sync_replicas=options.sync_replicas, **site_options)
         self.random = random.Random(seed)
         kinds = PlannedWork if options.planned_work else Faults
+        if options.sync_replicas:
+            kinds = SynchronousFaults
         self.faults = kinds(self.site, self.random, options.store_restores)
         # With planned work, every second caller sends its next operation at once.
         self.callers = [Caller(self.site, number, CALLERS, seed,
@@ -111,9 +114,12 @@
     def check_recovery(self):
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
         waiting = list(self.site.instances)
+        probes = itertools.count(1)
         while waiting and time.monotonic() < deadline:
             self.site.restart_ended()
-            waiting = [instance for instance in waiting if not answers_reads(self.site, instance)]
+            waiting = [instance for instance in waiting
+                       if not (answers_reads(self.site, instance) and
+                               answers_writes(self.site, instance, next(probes)))]
             time.sleep(0.1)
         for instance in self.site.instances:
             self.history.recovered[instance.name] = instance not in waiting
@@ -140,6 +146,9 @@
     parser.add_argument("--planned-work", action="store_true",
                         help="inject planned work and troubles around a start only; no request may "
                              "then be cut off")
+    parser.add_argument("--sync-replicas", type=int, default=0,
+                        help="replicas that receive a commit before it is acknowledged; no promotion "
+                             "may then remove an acknowledged commit")
     parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES,
                         help="number of instances, each with two proxies")
     parser.add_argument("--build", default=os.environ.get("ORIOLE_BUILD",
