Let the soak record the threads of a process that does not end after a stop

The harness killed the process without a look at it, so a hang cannot be told from a process, or a harness, that was not scheduled.

Ruled out by reading: waiting for the traffic thread, because the gateway refused connections 20 ms after event=stop, which it does only once that thread has ended.

Change: before it kills such a process, the soak writes the state, the kernel function and the system call of each of its threads beside the log.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -96,6 +96,7 @@
             status = instance.process.wait(timeout=limit)
         except subprocess.TimeoutExpired:
             status = None
+            instance.record_threads()
             self.kill(instance)
         self.site.history.planned_stops.append((instance.name, at, status))
 
--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -1,6 +1,7 @@
 """The system under soak: instances as processes, stand-ins, and a fault-injecting proxy in front of
 each address."""
 
+import glob
 import os
 import signal
 import subprocess
@@ -120,6 +121,18 @@
         handled = int(fields["SigBlk"], 16) | int(fields["SigCgt"], 16)
         return bool(handled & (1 << (signal.SIGTERM - 1)))
 
+    def record_threads(self):
+        """Writes the state of each thread beside the log. Tells a process that waits or computes
+        from one that has ended, but was not seen to end."""
+        with open(f"{self.log_path}.threads", "a", encoding="utf-8") as out:
+            for task in sorted(glob.glob(f"/proc/{self.process.pid}/task/*")):
+                for name in ("stat", "wchan", "syscall"):
+                    try:
+                        with open(os.path.join(task, name), encoding="ascii") as file:
+                            out.write(f"{task} {name}: {file.read().strip()}\n")
+                    except OSError as failure:
+                        out.write(f"{task} {name}: {failure}\n")
+
     def ready(self):
         try:
             return fetch_status(self.admin, "/readyz") == 200
