Reproduce cut texts and mixed answers on processes

The stand-in and the fixtures of the process tests ended a message at a bare LF, as the product does, and removed trailing CR and LF from texts, so no test could see the fault. They now end a message at CR LF only and keep every other byte; the stand-in's servers can send answers a second time, at once or later.

--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -4,6 +4,17 @@
 import time
 
 DURABILITY_CHECK_S = 0.005
+# Messages are text in which every byte may stand, so each byte is one character.
+ENCODING = "latin-1"
+LINE_END = b"\r\n"
+# The number of fields of a statement's text, with the verb. The last field extends to the end.
+STATEMENT_FIELDS = {"READ": 2, "WRITE": 3, "SET": 3, "PREPARE": 4, "EXECUTE": 4}
+
+
+def split_statement(text):
+    """The fields of a statement's text. The last one may contain blanks."""
+    verb, _, _ = text.partition(" ")
+    return text.split(" ", STATEMENT_FIELDS.get(verb, 2) - 1)
 
 
 class Database:
@@ -47,8 +58,9 @@
 
     Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, without
     `receiving` a replica receives no entries, without `can_pause` PAUSE closes the connection, and
-    the next `lost_answers` requests that have an id are executed but not answered. `ran` records the
-    executed statements as (request id, account, words, transaction state, session values)."""
+    the next `lost_answers` requests that have an id are executed but not answered. The next
+    `repeated_answers` answers are sent a second time, `repeat_delay_s` after the first. `ran` records
+    the executed statements as (request id, account, words, transaction state, session values)."""
 
     def __init__(self, database, server_id, zone):
         self.database = database
@@ -63,10 +75,13 @@
         self.paused = False  # told to receive nothing until the next promotion
         self.work_s = 0.0
         self.lost_answers = 0
+        self.repeated_answers = 0
+        self.repeat_delay_s = 0.0
         self.writes = 0  # entries written to the store
         self.state = "ready"
         self.ran = []
         self.connections = set()
+        self.sessions = set()
         self.port = 0
         self.listener = None
         database.servers[server_id] = self
@@ -125,11 +140,14 @@
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
+        session = Connection(self, reader, writer)
+        self.sessions.add(session)
         try:
-            await Connection(self, reader, writer).run()
+            await session.run()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.sessions.discard(session)
             self.connections.discard(writer)
             writer.close()
 
@@ -151,16 +169,16 @@
         self.uncommitted_writes = []
 
     async def run(self):
-        first = (await self.reader.readuntil(b"\r\n")).decode().rstrip().split(" ")
+        first = (await self.line()).split(" ")
         if first[0] != "CONNECT" or first[1] != self.server.database.name or (
                 len(first) > 3 and first[3] != self.server.id):
             return await self.send("ERROR WRONGNODE x\r\n")
         if len(self.server.connections) > self.server.database.max_connections:
             return await self.send("ERROR CONNLIMIT x\r\n")
         self.account = first[2]
-        await self.send_ready()
+        await self.answer("")
         while True:
-            line = (await self.reader.readuntil(b"\r\n")).decode().rstrip("\r\n")
+            line = await self.line()
             if line == "TERMINATE":
                 return None
             while self.server.dark:
@@ -175,8 +193,10 @@
             if request_id != "-" and self.server.lost_answers > 0:
                 self.server.lost_answers -= 1
                 continue
-            await self.send(answer)
-            await self.send_ready()
+            await self.answer(answer)
+
+    async def line(self):
+        return (await self.reader.readuntil(LINE_END))[:-len(LINE_END)].decode(ENCODING)
 
     async def wait_until_durable(self):
         """Waits until enough replicas have received the log. A commit that is still waiting when the
@@ -189,12 +209,21 @@
         raise ConnectionError("replaced as the leader")
 
     async def send(self, text):
-        self.writer.write(text.encode())
+        self.writer.write(text.encode(ENCODING))
         await self.writer.drain()
 
-    async def send_ready(self):
+    async def answer(self, text):
+        """Sends an answer, and the state and position after it."""
         term, number = self.server.position()
-        await self.send(f"READY {self.state} {term}.{number}\r\n")
+        text += f"READY {self.state} {term}.{number}\r\n"
+        if self.server.repeated_answers > 0:
+            self.server.repeated_answers -= 1
+            asyncio.get_running_loop().call_later(self.server.repeat_delay_s, self.repeat, text)
+        await self.send(text)
+
+    def repeat(self, text):
+        if self in self.server.sessions:
+            self.writer.write(text.encode(ENCODING))
 
     def fail_statement(self, code):
         """Returns an error answer. Fails the open transaction, if any, and discards its writes."""
@@ -204,12 +233,12 @@
         return f"ERROR {code} {self.server.id}\r\n"
 
     def execute(self, request_id, text):
-        words = text.split(" ")
-        if words[0] == "AFTER":
-            term, number = map(int, words[1].split("."))
+        if text.startswith("AFTER "):
+            _, position, text = text.split(" ", 2)
+            term, number = map(int, position.split("."))
             if self.server.position() < (term, number):
                 return self.fail_statement("LAGGING")
-            words = words[2:]
+        words = split_statement(text)
         if self.state == "E" and words[0] != "ROLLBACK":
             return self.fail_statement("MALFORMED")
         handler = getattr(self, "do_" + words[0].lower(), None)
--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -17,6 +17,7 @@
 from oriole_site.http import fetch_status
 from oriole_site.processes import LOOPBACK, free_port, wait_until
 from users_platform import Platform
+from users_platform.backend import ENCODING, LINE_END
 
 WAIT_S = 20.0
 STOP_GRACE_S = 4
@@ -49,10 +50,17 @@
         self.greeting = self.line()
 
     def send(self, text):
-        self.socket.sendall(text.encode() + b"\r\n")
+        self.socket.sendall(text.encode(ENCODING) + LINE_END)
 
     def line(self):
-        return self.input.readline().decode().rstrip("\r\n")
+        """The next line, in which a single LF may stand; empty at the end of the stream."""
+        line = b""
+        while not line.endswith(LINE_END):
+            part = self.input.readline()
+            if not part:
+                return ""
+            line += part
+        return line[:-len(LINE_END)].decode(ENCODING)
 
     def run(self, text):
         Session._next_id += 1
