Refuse fields that end a message or another field

An encoder took any text for a field. A name, value or shape with CR LF became a message of its own at the backend server, and a name with a blank was read as two fields: a connection for the account "two words" named another account and was opened without a check of the server's id. Such fields could come from the store (accounts, routes, services) and from other instances; a caller's own text cannot contain CR LF any more.

Where a field enters, it is now checked: routes, services and accounts of a configuration and servers of a report with a name that cannot be sent are left out and logged (outcome=name_unusable), while the others come into force; forwarded statements and outcomes with such a field are refused with report_unreadable, so a statement runs elsewhere and an outcome counts as unknown. The account may still be empty: callers of public routes have none.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -146,6 +146,12 @@
                                     .add("outcome", "unreadable"));
                     continue;
                 }
+                for (const auto& name : object.value->unusable_names) {
+                    m_log.write(log_entry("configuration")
+                                    .add("revision", to_string(object.revision))
+                                    .add("name", name)
+                                    .add("outcome", "name_unusable"));
+                }
                 m_fleet.update_configuration(
                     std::make_shared<const fleet::configuration>(*object.value), object.revision,
                     "store");
--- a/src/entry/internal/forward_codec.cpp
+++ b/src/entry/internal/forward_codec.cpp
@@ -1,5 +1,6 @@
 #include "entry/forward_codec.h"
 
+#include "base/message_text.h"
 #include "entry/internal/json_fields.h"
 #include "entry/peer_report_codec.h"
 
@@ -18,6 +19,35 @@
     return in.is_null() ? std::nullopt : std::optional(decode_position(in));
 }
 
+/// Decodes bytes that may become the last field of a message. Throws report_unreadable for bytes
+/// that would end it.
+std::string decode_text(const json& in) {
+    auto text = decode_bytes(in);
+    if (!is_message_text(text)) {
+        throw report_unreadable("a text contains CR LF, which ends a message");
+    }
+    return text;
+}
+
+/// Decodes bytes that may become a field that others follow; they may be empty. Throws
+/// report_unreadable.
+std::string decode_word(const json& in) {
+    auto word = decode_text(in);
+    if (!word.empty() && !is_message_word(word)) {
+        throw report_unreadable("a word contains a blank, which ends a field of a message");
+    }
+    return word;
+}
+
+/// Decodes the name of an object; it may be empty. Throws report_unreadable.
+std::string decode_name(const json& in) {
+    auto name = in.get<std::string>();
+    if (!name.empty() && !is_object_name(name)) {
+        throw report_unreadable("the name of an object contains a blank or a control character");
+    }
+    return name;
+}
+
 json encode_statement(const sessions::statement& value) {
     return {{"id", encode_bytes(value.id)},
             {"text", encode_bytes(value.text)},
@@ -30,12 +60,12 @@
 
 sessions::statement decode_statement(const json& in) {
     sessions::statement value;
-    value.id = decode_bytes(in.at("id"));
-    value.text = decode_bytes(in.at("text"));
+    value.id = decode_word(in.at("id"));
+    value.text = decode_text(in.at("text"));
     value.kind = decode_enum(in.at("kind"), sessions::statement_kind::malformed);
-    value.name = decode_bytes(in.at("name"));
-    value.argument = decode_bytes(in.at("argument"));
-    value.shape = decode_bytes(in.at("shape"));
+    value.name = decode_word(in.at("name"));
+    value.argument = decode_text(in.at("argument"));
+    value.shape = decode_word(in.at("shape"));
     value.writes = in.at("writes").get<bool>();
     return value;
 }
@@ -55,7 +85,7 @@
     if (in.contains("shape")) {
         const auto& shape = in.at("shape");
         value.shape =
-            sessions::prepared_statement{decode_bytes(shape.at(0)), shape.at(1).get<bool>()};
+            sessions::prepared_statement{decode_word(shape.at(0)), shape.at(1).get<bool>()};
     }
     return value;
 }
@@ -71,7 +101,7 @@
 sessions::session_values decode_values(const json& in) {
     sessions::session_values values;
     for (const auto& item : in) {
-        values[decode_bytes(item.at(0))] = decode_bytes(item.at(1));
+        values[decode_word(item.at(0))] = decode_text(item.at(1));
     }
     return values;
 }
@@ -96,9 +126,9 @@
     sessions::server_answer answer;
     answer.code = decode_enum(in.at("code"), sessions::answer_code::malformed);
     for (const auto& row : in.at("rows")) {
-        answer.rows.push_back(decode_bytes(row));
+        answer.rows.push_back(decode_text(row));
     }
-    answer.signature = decode_bytes(in.at("signature"));
+    answer.signature = decode_text(in.at("signature"));
     answer.state = decode_enum(in.at("state"), sessions::transaction_state::failed);
     answer.position = decode_position_or_null(in.at("position"));
     return answer;
@@ -128,7 +158,7 @@
         forwarded.reads_only = in.at("reads_only").get<bool>();
         forwarded.transaction = in.at("transaction").get<std::uint64_t>();
         forwarded.route = decode_route(in.at("route"));
-        forwarded.account = account_name(in.at("account").get<std::string>());
+        forwarded.account = account_name(decode_name(in.at("account")));
         forwarded.statement = decode_statement(in.at("statement"));
         forwarded.decision = decode_decision(in.at("decision"));
         forwarded.values = decode_values(in.at("values"));
@@ -156,7 +186,7 @@
         const auto in = json::parse(text);
         forwarded_outcome outcome;
         outcome.answer = decode_answer(in.at("answer"));
-        outcome.server = server_name(in.at("server").get<std::string>());
+        outcome.server = server_name(decode_name(in.at("server")));
         outcome.attempts = in.at("attempts").get<int>();
         outcome.routing_basis = in.at("form").get<std::string>();
         outcome.required = decode_position_or_null(in.at("required"));
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -132,6 +132,7 @@
     const auto answered = co_await m_link->call(peer.peer_address, report_method, std::move(text),
                                                 started + call_limit);
     auto report = decode_report(answered);
+    log_unusable_names(report);
     m_fleet.merge_report(report, asked, steady_clock().now());
     set_reachable(peer.id, true, "answered");
     co_await apply_learned_orders();
@@ -150,6 +151,7 @@
 asio::awaitable<std::string> peer_exchange::answer(std::string text) {
     const auto now = steady_clock().now();
     const auto request = decode_report(text);
+    log_unusable_names(request);
     m_fleet.merge_report(request, std::nullopt, now);
     co_await apply_learned_orders();
     auto report = m_fleet.report_for(&request, now);
@@ -158,6 +160,15 @@
     co_return encode_report(report);
 }
 
+void peer_exchange::log_unusable_names(const peer_report& report) {
+    for (const auto& name : report.unusable_names) {
+        m_log.write(log_entry("peer_report")
+                        .add("instance", report.from.str())
+                        .add("name", name)
+                        .add("outcome", "name_unusable"));
+    }
+}
+
 bool peer_exchange::should_poll(const fleet::registered_instance& peer) const {
     return m_fleet.is_polled_peer(peer.id) || m_fleet.any_primary_failing();
 }
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -66,6 +66,7 @@
     /// Returns whether run() polls the peer. Report peers that are not polled peers are electors,
     /// whose evidence is needed only while this instance sees a primary failing.
     [[nodiscard]] bool should_poll(const fleet::registered_instance& peer) const;
+    void log_unusable_names(const peer_report& report);
     void set_reachable(const instance_id& peer, bool reachable, const std::string& reason);
 
     boost::asio::any_io_executor m_executor;
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -1,5 +1,6 @@
 #include "entry/peer_report_codec.h"
 
+#include "base/message_text.h"
 #include "entry/internal/json_fields.h"
 
 #include <nlohmann/json.hpp>
@@ -115,6 +116,7 @@
                                   item.at("keys").get<std::vector<std::string>>(),
                                   item.at("rate").get<double>(), item.at("burst").get<double>()});
     }
+    fleet::remove_unusable_names(value);
     return value;
 }
 
@@ -174,11 +176,17 @@
     if (in.contains("configuration")) {
         report.configuration = std::make_shared<const fleet::configuration>(
             decode_configuration(in.at("configuration")));
+        report.unusable_names = report.configuration->unusable_names;
     }
     if (in.contains("servers")) {
         report.servers.emplace();
-        for (const auto& server : in.at("servers")) {
-            report.servers->push_back(decode_server(server));
+        for (const auto& item : in.at("servers")) {
+            auto server = decode_server(item);
+            if (is_object_name(server.id.str()) && is_object_name(server.service.str())) {
+                report.servers->push_back(std::move(server));
+            } else {
+                report.unusable_names.push_back("server " + server.id.str());
+            }
         }
     }
     if (in.contains("evacuated")) {
--- a/src/entry/tests/forward_codec_test.cpp
+++ b/src/entry/tests/forward_codec_test.cpp
@@ -41,12 +41,53 @@
 // Guards against a client's text that is changed in transit because it is not UTF-8.
 RC_GTEST_FIXTURE_PROP(forward_codec_test, arbitrary_bytes_are_unchanged_by_encoding,
                       (const std::string& bytes)) {
+    RC_PRE(bytes.find("\r\n") == std::string::npos); // ends a message, so it is in no text
     auto forwarded = make();
     forwarded.statement.text = bytes;
     forwarded.values["name"] = bytes;
     RC_ASSERT(decode_forwarded(encode_forwarded(forwarded)) == forwarded);
 }
 
+// Guards against a text of another instance that ends a message to the server.
+TEST_F(forward_codec_test, statement_with_crlf_in_a_field_is_rejected) {
+    const std::string odd = "a\r\nQUERY f2ae WRITE k stolen";
+    std::vector<forwarded_statement> statements(7, make());
+    statements[0].statement.id = odd;
+    statements[1].statement.text = odd;
+    statements[2].statement.argument = odd;
+    statements[3].values = {{"a", odd}};
+    statements[4].values = {{odd, "1"}};
+    statements[5].decision.shape->shape = odd;
+    statements[6].account = account_name(odd);
+    for (const auto& each : statements) {
+        EXPECT_THROW(static_cast<void>(decode_forwarded(encode_forwarded(each))),
+                     report_unreadable);
+    }
+}
+
+// Guards against a word of another instance that ends its field in a message to the server.
+TEST_F(forward_codec_test, statement_with_a_blank_in_a_word_is_rejected) {
+    std::vector<forwarded_statement> statements(4, make());
+    statements[0].statement.id = "1 2";
+    statements[1].values = {{"a b", "1"}};
+    statements[2].decision.shape->shape = "q r";
+    statements[3].account = account_name("t u");
+    for (const auto& each : statements) {
+        EXPECT_THROW(static_cast<void>(decode_forwarded(encode_forwarded(each))),
+                     report_unreadable);
+    }
+}
+
+// Guards against a gateway's answer whose rows the caller takes for the end of the answer.
+TEST_F(forward_codec_test, outcome_with_crlf_in_a_field_is_rejected) {
+    forwarded_outcome outcome;
+    outcome.answer.rows = {"row\r\nCOMPLETE forged"};
+    EXPECT_THROW(static_cast<void>(decode_outcome(encode_outcome(outcome))), report_unreadable);
+    outcome.answer.rows = {"row"};
+    outcome.answer.signature = "7.1f\r\nREADY I 9.9";
+    EXPECT_THROW(static_cast<void>(decode_outcome(encode_outcome(outcome))), report_unreadable);
+}
+
 // Guards against result rows that are changed in transit.
 TEST_F(forward_codec_test, outcome_is_unchanged_by_encoding) {
     forwarded_outcome outcome;
--- a/src/entry/tests/peer_report_codec_test.cpp
+++ b/src/entry/tests/peer_report_codec_test.cpp
@@ -32,6 +32,7 @@
         report.services[service_name("db")] = service;
         fleet::registered_server server;
         server.id = server_name("s");
+        server.service = service_name("db");
         server.address = endpoint("10.0.0.1", 80);
         server.sequence = 8;
         server.revision = {2, 5};
@@ -61,6 +62,29 @@
     EXPECT_EQ(*decode_report(encode_report(report)).configuration, config);
 }
 
+// Guards against a name from another instance that ends a field or a message to a server, and
+// against one such name that makes the whole report unusable.
+TEST_F(peer_report_codec_test, names_that_cannot_be_sent_are_left_out) {
+    const auto report = make();
+    fleet::configuration config;
+    config.services[service_name("db")] = {21, 1};
+    for (const auto* name : {"", "a b", "a\r\nQUERY - RESET"}) {
+        auto odd = report;
+        odd.servers->push_back(report.servers->front());
+        odd.servers->back().id = server_name(name);
+        odd.servers->push_back(report.servers->front());
+        odd.servers->back().service = service_name(name);
+        auto odd_config = config;
+        odd_config.accounts.push_back({account_name(name), {"k"}, 10, 5});
+        odd.configuration = std::make_shared<const fleet::configuration>(odd_config);
+        const auto decoded = decode_report(encode_report(odd));
+        EXPECT_EQ(decoded.servers, report.servers);
+        EXPECT_TRUE(decoded.configuration->accounts.empty());
+        EXPECT_EQ(decoded.configuration->services, config.services);
+        EXPECT_EQ(decoded.unusable_names.size(), 3U);
+    }
+}
+
 // Guards against an age that is rounded down, which would make a position proof look too recent.
 TEST_F(peer_report_codec_test, ages_are_rounded_up) {
     auto report = make();
--- a/src/entry/types/peer_report.h
+++ b/src/entry/types/peer_report.h
@@ -85,6 +85,9 @@
     std::shared_ptr<const fleet::configuration> configuration;
     std::optional<std::vector<fleet::registered_server>> servers;
     std::optional<std::vector<reported_evacuation>> evacuated;
+    /// Names in a received report that no message can carry. Their servers, and the routes,
+    /// services and accounts of the configuration, are left out.
+    std::vector<std::string> unusable_names;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/fleet/types/configuration.h
+++ b/src/fleet/types/configuration.h
@@ -51,7 +51,15 @@
     /// Idle time after which an open transaction may be ended; 0 means never.
     clock::duration transaction_idle{};
 
+    /// Names that no message can carry, with their kind. Their routes, services and accounts are
+    /// left out.
+    std::vector<std::string> unusable_names;
+
     friend bool operator==(const configuration&, const configuration&) = default;
 };
 
+/// Moves the routes, services and accounts to `unusable_names` whose names cannot be sent to a
+/// server. The others stay in force.
+void remove_unusable_names(configuration& value);
+
 } // namespace oriole::fleet
--- a/tests/process/odd_entries_test.py
+++ b/tests/process/odd_entries_test.py
@@ -111,6 +111,19 @@
         self.assert_changes_come_into_force()
         self.assert_all_run()
 
+    # Guards against an account whose name ends a field or a message to the servers, and against one
+    # such name that keeps the rest of the configuration from coming into force.
+    def test_changes_come_into_force_beside_accounts_with_unusable_names(self):
+        names = ("two words", "kita\r\nQUERY - RESET", "")
+        for number, name in enumerate(names):
+            self.platform.keys[name] = [f"odd-key-{number}"]
+        self.assert_changes_come_into_force()
+        for index in range(len(self.instances)):
+            for number in range(len(names)):
+                greeting = self.session(key=f"odd-key-{number}", index=index).greeting
+                self.assertTrue(greeting.startswith("ERROR DENIED"), greeting)
+        self.assert_all_run()
+
     # Guards against a change of primary that fails because the order in the store cannot be read.
     def test_lost_primary_is_replaced_although_its_order_was_overwritten(self):
         session = self.session("newest")
