Keep each value of a log line in its field

A value with a control character other than CR, LF and TAB stood unquoted in the log, and bytes that are not UTF-8 were copied: a database name with a vertical tab or U+0085 ended a line for readers that split there, one with ESC controlled an operator's terminal, and one with 0xff stopped readers that expect UTF-8. Line feeds had become blanks, so two names could look alike.

log_entry now quotes every value with bytes other than printable ASCII and writes those as \xNN.

Evidence: 3 new tests of log_entry_test failed before, one of them a property that splits lines into fields as a reader does.

--- a/src/base/internal/log_entry.cpp
+++ b/src/base/internal/log_entry.cpp
@@ -1,22 +1,48 @@
 #include "base/types/log_entry.h"
 
+#include <algorithm>
+
 namespace oriole {
+namespace {
+
+constexpr std::string_view hexadecimal_digits = "0123456789abcdef";
+constexpr unsigned bits_per_digit = 4;
+constexpr unsigned digit_mask = 0x0f;
+
+bool is_printable(char character) {
+    return character >= ' ' && character < '\x7f';
+}
+
+bool needs_quotes(std::string_view value) {
+    return value.empty() || value.find_first_of(" \"\\=") != value.npos ||
+           !std::all_of(value.begin(), value.end(), is_printable);
+}
+
+void append_escaped(std::string& out, char character) {
+    if (!is_printable(character)) {
+        const auto byte = static_cast<unsigned char>(character);
+        out.append("\\x")
+            .append(1, hexadecimal_digits[byte >> bits_per_digit])
+            .append(1, hexadecimal_digits[byte & digit_mask]);
+        return;
+    }
+    if (character == '"' || character == '\\') {
+        out.append(1, '\\');
+    }
+    out.append(1, character);
+}
+
+} // namespace
 
 log_entry& log_entry::add(std::string_view key, std::string_view value) {
     m_text.append(1, ' ').append(key).append(1, '=');
-    const bool needs_no_quotes =
-        !value.empty() && value.find_first_of(" \"\\=\r\n\t") == value.npos;
-    if (needs_no_quotes) {
+    if (!needs_quotes(value)) {
         m_text.append(value);
         return *this;
     }
     m_text.append(1, '"');
     for (const char character : value) {
-        if (character == '"' || character == '\\') {
-            m_text.append(1, '\\');
-        }
-        const bool control = static_cast<unsigned char>(character) < ' ';
-        m_text.append(1, control ? ' ' : character);
+        append_escaped(m_text, character);
     }
     m_text.append(1, '"');
     return *this;
--- a/src/base/types/log_entry.h
+++ b/src/base/types/log_entry.h
@@ -7,7 +7,9 @@
 namespace oriole {
 
 /// One structured log line: an event name and fields in the form `key=value`. Values that are empty
-/// or contain whitespace, quotes, backslashes or equals signs are quoted. Not thread-safe.
+/// or contain blanks, quotes, backslashes, equals signs or bytes other than printable ASCII are
+/// quoted; in quotes, a backslash stands before a quote or backslash, and `\xNN` for a byte that is
+/// not printable. Event names and keys are the program's own. Not thread-safe.
 class log_entry {
 public:
     explicit log_entry(std::string_view event) { m_text.append("event=").append(event); }
