Answer statements that still run when the grace period ends

What callers saw: statements that were still running at a server when an instance ended after SIGTERM got no answer; their connections just ended (LOST). A caller could not tell a read, which it may repeat, from a write that may have run. Seen with a route timeout longer than what was left of the grace period.

Cause: 0.4 s before the end of the grace period the process ended with whatever its sessions were doing. Nothing answered for a statement without a result.

Change: 0.55 s before the end each session answers its running statement without the result. unfinished_statement decides the code: ABORTED for what commits no change (reads, statements and read-only commits of a transaction, which is rolled back), INDOUBT for a write or a commit that a server may have run, BUSY for what waits for its account's rate and is not sent any more. Statements that have arrived behind it are refused. The answer that ends the operation ends the stream. Statements that a stopping gateway runs for other instances need nothing: their instances see the connection end and answer by themselves.

Evidence: stop_answers_test on the parent: all 5 statements (read, write, statement of a transaction, COMMIT after a write, COMMIT after reads) "no answer". The tests of statements at gateways passed before.

With a grace period under 4.4 s the wait for the load balancer is half of it, so that a short grace period does not end during that wait.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -2,6 +2,11 @@
 
 #include "entry/internal/caller_service.h"
 
+#include "entry/internal/unfinished_statement.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace oriole::entry {
 namespace {
 
@@ -34,7 +39,15 @@
     } catch (const std::exception& unexpected) {
         log_end("session_failed", unexpected.what());
     }
-    end_transaction();
+    m_run = nullptr;
+    roll_back();
+    if (!m_left_to_other) {
+        close();
+    }
+}
+
+void caller_service::close() {
+    m_closed = true;
     m_channel->close();
 }
 
@@ -73,22 +86,86 @@
 asio::awaitable<void> caller_service::serve_statements() {
     while (auto statement = co_await next_statement()) {
         m_statement_running = true;
-        const bool open = co_await handle(std::move(*statement));
+        const auto next = co_await handle(std::move(*statement));
+        if (next == next_step::leave_to_other) {
+            co_return;
+        }
         m_statement_running = false;
         m_answered_at = steady_clock().now();
-        if (!open) {
-            // Closing a connection with unread input resets it, and the answer may be lost.
-            static_cast<void>(co_await m_channel->wait_for_input(client_close_time));
+        if (next == next_step::end_session) {
+            co_await wait_for_client_to_close();
             co_return;
         }
     }
 }
 
+asio::awaitable<void> caller_service::wait_for_client_to_close() {
+    // Closing a connection with unread input resets it, and the answer may be lost.
+    static_cast<void>(co_await m_channel->wait_for_input(client_close_time));
+}
+
+void caller_service::end_now() {
+    m_ending = true;
+    m_refusing = true;
+    if (m_run == nullptr) {
+        return;
+    }
+    const statement_run& run = *std::exchange(m_run, nullptr);
+    auto outcome = end_without_result(run, m_admitted);
+    record_outcome(run, outcome);
+    m_left_to_other = true;
+    asio::co_spawn(
+        m_context.executor(),
+        [self = shared_from_this(), answer = std::move(outcome.answer)]() mutable {
+            return self->finish(std::move(answer));
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> caller_service::finish(sessions::server_answer answer) {
+    try {
+        const bool is_last = ends_with_next_answer();
+        co_await reply(std::move(answer), is_last);
+        m_statement_running = false;
+        m_answered_at = steady_clock().now();
+        if (is_last) {
+            co_await wait_for_client_to_close();
+        } else {
+            co_await serve_statements();
+        }
+    } catch (const caller_lost& lost) {
+        log_end("caller_lost", lost.what());
+    } catch (const std::exception& unexpected) {
+        log_end("session_failed", unexpected.what());
+    }
+    close();
+}
+
+run_outcome caller_service::end_without_result(const statement_run& run, bool may_have_been_sent) {
+    unfinished_statement statement;
+    statement.starts_operation = run.decision.starts_operation;
+    statement.may_have_been_sent = may_have_been_sent;
+    statement.in_transaction = m_session.state() == transaction_state::open;
+    statement.commits = run.decision.step == session_step::commit;
+    statement.writes = run.decision.writes;
+    statement.transaction_wrote = m_transaction != nullptr && m_transaction->wrote();
+    if (statement.starts_operation || statement.commits) {
+        m_session.transaction_ended();
+    } else {
+        m_session.transaction_failed();
+    }
+    run_outcome outcome;
+    outcome.answer.code = code_without_result(statement);
+    outcome.answer.state = m_session.state();
+    outcome.routing_basis = "stop";
+    return outcome;
+}
+
 bool caller_service::close_if_quiet(clock::time_point now) {
     const bool quiet = !m_statement_running && m_session.state() == transaction_state::none &&
                        !m_channel->has_input() && now - m_answered_at >= quiet_time;
     if (quiet) {
-        m_channel->close();
+        close();
     }
     return quiet;
 }
@@ -121,7 +198,7 @@
     co_return co_await m_channel->next();
 }
 
-asio::awaitable<bool> caller_service::handle(sessions::statement statement) {
+asio::awaitable<caller_service::next_step> caller_service::handle(sessions::statement statement) {
     const auto arrived = steady_clock().now();
     const auto permitted = check_permission();
     if (permitted != answer_code::ok) {
@@ -134,7 +211,7 @@
         sessions::server_answer answer;
         answer.code = permitted;
         co_await reply(std::move(answer), true);
-        co_return false;
+        co_return next_step::end_session;
     }
     statement_run run;
     run.decision = m_session.decide(statement);
@@ -143,12 +220,17 @@
     run.values = m_session.values();
     run.own_commit = m_session.last_commit();
     run.statement = std::move(statement);
+    m_run = &run;
     run_outcome outcome = co_await this->run(run);
+    if (m_run != &run) {
+        co_return next_step::leave_to_other;
+    }
+    m_run = nullptr;
     outcome.answer.state = m_session.state();
     record_outcome(run, outcome);
     const bool is_last = ends_with_next_answer();
     co_await reply(std::move(outcome.answer), is_last);
-    co_return !is_last;
+    co_return is_last ? next_step::end_session : next_step::receive_next;
 }
 
 answer_code caller_service::check_permission() {
@@ -169,9 +251,18 @@
     run_outcome outcome;
     outcome.answer.code = run.decision.code;
     run.route = &m_route;
+    const bool needs_server =
+        run.decision.step == session_step::run || run.decision.step == session_step::commit;
+    if (m_refusing && (needs_server || run.decision.starts_operation)) {
+        co_return end_without_result(run, false);
+    }
+    m_admitted = !run.decision.starts_operation;
     if (run.decision.starts_operation) {
-        const bool admitted = co_await m_context.admit(m_account);
-        if (!admitted) {
+        m_admitted = co_await m_context.admit(m_account);
+        if (m_refusing) {
+            co_return outcome; // end_now() has answered the statement.
+        }
+        if (!m_admitted) {
             m_session.transaction_ended();
             outcome.answer.code = answer_code::busy;
             outcome.routing_basis = "rate";
@@ -222,6 +313,9 @@
             m_transaction.reset();
         }
     }
+    if (m_refusing) {
+        co_return outcome; // end_now() has answered the statement.
+    }
     const bool succeeded = outcome.answer.code == answer_code::ok;
     if (commits) {
         m_session.transaction_ended();
@@ -243,6 +337,12 @@
 }
 
 void caller_service::end_transaction() {
+    if (!m_left_to_other) {
+        roll_back();
+    }
+}
+
+void caller_service::roll_back() {
     if (m_transaction != nullptr) {
         m_transaction->roll_back();
         m_transaction.reset();
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -41,10 +41,32 @@
     /// with aborted.
     void abort_transaction();
 
+    /// Answers the running statement without its result, and refuses all that would run at a server
+    /// from now on. The session ends as after end_soon().
+    void end_now();
+
+    /// Returns whether the connection to the client is closed.
+    [[nodiscard]] bool closed() const noexcept { return m_closed; }
+
 private:
+    /// What follows a statement.
+    enum class next_step {
+        receive_next,
+        end_session,
+        leave_to_other ///< end_now() has answered the statement; another coroutine serves the
+                       ///< client
+    };
+
     [[nodiscard]] boost::asio::awaitable<bool> open();
     [[nodiscard]] boost::asio::awaitable<void> serve_statements();
-    [[nodiscard]] boost::asio::awaitable<bool> handle(sessions::statement statement);
+    [[nodiscard]] boost::asio::awaitable<next_step> handle(sessions::statement statement);
+    /// Sends the answer of a statement that end_now() has answered, and serves the client from then
+    /// on in place of serve().
+    [[nodiscard]] boost::asio::awaitable<void> finish(sessions::server_answer answer);
+    [[nodiscard]] boost::asio::awaitable<void> wait_for_client_to_close();
+    /// Returns the outcome of a statement that is answered without its result, and updates the
+    /// session's transaction state accordingly.
+    [[nodiscard]] run_outcome end_without_result(const statement_run& run, bool may_have_been_sent);
     [[nodiscard]] boost::asio::awaitable<run_outcome> run(statement_run run);
     [[nodiscard]] boost::asio::awaitable<run_outcome> run_in_transaction(statement_run run);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::statement>> next_statement();
@@ -54,7 +76,11 @@
     [[nodiscard]] bool ends_with_next_answer() const;
     [[nodiscard]] sessions::answer_code check_permission();
     void log_end(std::string_view event, std::string_view reason);
+    void close();
+    /// Rolls the open transaction back, unless a statement that end_now() has answered still runs
+    /// in it; serve() does so then, once the statement has ended.
     void end_transaction();
+    void roll_back();
     void record_outcome(const statement_run& run, const run_outcome& outcome);
 
     traffic_context& m_context;
@@ -66,7 +92,13 @@
     sessions::caller_session m_session;
     std::unique_ptr<statement_transaction> m_transaction;
     bool m_statement_running = false;
-    bool m_ending = false; ///< the session ends with an answer after which it is idle
+    const statement_run* m_run = nullptr; ///< the statement whose outcome is awaited
+    bool m_admitted = false;              ///< whether the awaited statement is within the rate
+    bool m_ending = false;   ///< the session ends with an answer after which it is idle
+    bool m_refusing = false; ///< nothing more is sent to a server
+    /// Another coroutine than the one that awaits the outcome of a statement serves the client.
+    bool m_left_to_other = false;
+    bool m_closed = false;
     /// When the last answer or the confirmation was sent; before that, when the client connected.
     clock::time_point m_answered_at = steady_clock().now();
     bool m_transaction_aborted = false; ///< the open transaction was rolled back by this instance
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -78,6 +78,10 @@
 
     [[nodiscard]] std::shared_ptr<const fleet::fleet_view> view() const noexcept { return m_view; }
 
+    [[nodiscard]] const boost::asio::any_io_executor& executor() const noexcept {
+        return m_executor;
+    }
+
     [[nodiscard]] decision_log& log() noexcept { return m_log; }
 
     [[nodiscard]] metric_registry& metrics() noexcept { return m_metrics; }
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -26,6 +26,10 @@
 /// all the reconnects at once.
 constexpr clock::duration end_interval = 50ms;
 constexpr int end_groups = 16;
+/// Remaining part of the stop grace period at which statements that still run are answered without
+/// their result. It leaves the clients time to read the answers and to close their connections
+/// before forced_close_margin.
+constexpr clock::duration unfinished_answer_margin = 550ms;
 /// Remaining part of the stop grace period at which the sessions are closed even if they are busy.
 constexpr clock::duration forced_close_margin = 400ms;
 
@@ -123,12 +127,14 @@
 asio::awaitable<void> traffic_thread::close_sessions(std::function<void()> on_end) {
     const auto started = steady_clock().now();
     m_gateway.leave();
-    co_await pause(load_balancer_delay);
+    co_await pause(std::min(load_balancer_delay, m_settings.stop_grace / 2));
     const std::size_t group = open_sessions().size() / end_groups + 1;
     while (true) {
         const auto elapsed = steady_clock().now() - started;
         const auto sessions = open_sessions();
-        if ((sessions.empty() && m_gateway.idle()) ||
+        const bool all_closed = std::all_of(sessions.begin(), sessions.end(),
+                                            [](const auto& known) { return known->closed(); });
+        if ((all_closed && m_gateway.idle()) ||
             elapsed > m_settings.stop_grace - forced_close_margin) {
             break;
         }
@@ -141,6 +147,11 @@
             }
             m_gateway.abort_transactions();
         }
+        if (elapsed > m_settings.stop_grace - unfinished_answer_margin) {
+            for (const auto& session : sessions) {
+                session->end_now();
+            }
+        }
         end_next(sessions, group);
         co_await pause(end_interval);
     }
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -2,9 +2,11 @@
 
 #include "entry/internal/caller_service.h"
 
+#include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <deque>
 #include <stdexcept>
 
@@ -41,13 +43,15 @@
 
     boost::asio::awaitable<void> refuse(answer_code) override { co_return; }
 
-    boost::asio::awaitable<void> answer(sessions::server_answer) override {
+    boost::asio::awaitable<void> answer(sessions::server_answer answer) override {
         ++answers;
+        codes.push_back(answer.code);
         co_return;
     }
 
-    boost::asio::awaitable<void> answer_and_end(sessions::server_answer) override {
+    boost::asio::awaitable<void> answer_and_end(sessions::server_answer answer) override {
         ++answers;
+        codes.push_back(answer.code);
         ended = true;
         co_return;
     }
@@ -61,6 +65,7 @@
     bool fails = false;
     int taken = 0;
     int answers = 0;
+    std::vector<answer_code> codes;
     bool ended = false; ///< the stream ended with the last answer
     bool closed = false;
 };
@@ -71,9 +76,18 @@
         auto config = std::make_shared<fleet::configuration>();
         config->routes["newest"].service = service_name("db");
         config->routes["newest"].open_to_all = true;
+        config->routes["newest"].policy = fleet::read_policy::newest;
+        config->routes["newest"].latency_target = 10s;
+        config->routes["newest"].statement_timeout = 10s;
         auto view = std::make_shared<fleet::fleet_view>();
         view->config = config;
         view->accounts_by_key = std::make_shared<fleet::key_index>();
+        fleet::usable_server primary;
+        primary.listed = fake_listed("primary", "zone");
+        primary.primary = true;
+        primary.connections = {2, 2};
+        view->servers[service_name("db")] = {primary};
+        m_servers.at("primary").primary = true;
         m_context.apply(view);
     }
 
@@ -81,6 +95,9 @@
         sessions::statement statement;
         statement.id = "1";
         statement.kind = kind;
+        statement.text = kind == sessions::statement_kind::write    ? "WRITE a b"
+                         : kind == sessions::statement_kind::commit ? "COMMIT"
+                                                                    : "READ a";
         return statement;
     }
 
@@ -92,6 +109,37 @@
 
     void serve() { static_cast<void>(run_coroutine(m_io, serve_session(m_session))); }
 
+    /// Serves the session until the server has received `text`, and then ends the session while the
+    /// server has not answered yet.
+    void serve_and_end_while_server_runs(const std::string& text) {
+        auto& server = m_servers.at("primary");
+        server.answer_delay = 20ms;
+        boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+        while (!server_received_text(text)) {
+            ASSERT_EQ(m_io.run_one_for(10s), 1U);
+        }
+        m_session->end_now();
+        m_io.run();
+    }
+
+    [[nodiscard]] bool server_received(sessions::command_kind kind) {
+        const auto& commands = m_servers.at("primary").received;
+        return std::any_of(commands.begin(), commands.end(),
+                           [kind](const auto& command) { return command.kind == kind; });
+    }
+
+    [[nodiscard]] bool server_received_text(const std::string& text) {
+        const auto& commands = m_servers.at("primary").received;
+        return std::any_of(commands.begin(), commands.end(),
+                           [&text](const auto& command) { return command.text == text; });
+    }
+
+    static entry_settings make_settings() {
+        entry_settings settings;
+        settings.fenced_promotions = true;
+        return settings;
+    }
+
     static boost::asio::awaitable<bool> serve_session(std::shared_ptr<caller_service> session) {
         co_await session->serve();
         co_return true;
@@ -101,7 +149,7 @@
     fake_servers m_servers;
     std::unique_ptr<decision_log> m_log = make_decision_log(::dup(STDERR_FILENO));
     metric_registry m_metrics;
-    traffic_context m_context{m_io.get_executor(), m_servers, {}, *m_log, m_metrics};
+    traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), *m_log, m_metrics};
     std::shared_ptr<fake_caller> m_caller = std::make_shared<fake_caller>();
     std::shared_ptr<caller_service> m_session =
         std::make_shared<caller_service>(m_context, m_caller);
@@ -160,5 +208,46 @@
     EXPECT_FALSE(m_session->close_if_quiet(steady_clock().now() + 1s));
 }
 
+// Guards against a write that still runs when the grace period of a stop ends, and gets no answer
+// or the promise that it is not kept.
+TEST_F(caller_service_test, session_that_ends_now_answers_its_running_write_in_doubt) {
+    send({sessions::statement_kind::write});
+    serve_and_end_while_server_runs("WRITE a b");
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::in_doubt});
+    EXPECT_TRUE(m_caller->ended);
+    EXPECT_TRUE(m_caller->closed);
+}
+
+// Guards against a transaction that is kept although its client was told that it was aborted.
+TEST_F(caller_service_test, session_that_ends_now_rolls_its_running_transaction_back) {
+    send({sessions::statement_kind::begin, sessions::statement_kind::write});
+    serve_and_end_while_server_runs("WRITE a b");
+    EXPECT_EQ(m_caller->codes, (std::vector{answer_code::ok, answer_code::aborted}));
+    EXPECT_TRUE(server_received(sessions::command_kind::rollback));
+    EXPECT_TRUE(m_caller->closed);
+}
+
+// Guards against statements that have arrived behind a running one, and get no answer or are sent
+// to a server.
+TEST_F(caller_service_test, session_that_ends_now_refuses_the_statements_that_have_arrived) {
+    send({sessions::statement_kind::read, sessions::statement_kind::write});
+    m_caller->pipelined = true;
+    serve_and_end_while_server_runs("READ a");
+    EXPECT_EQ(m_caller->codes, (std::vector{answer_code::aborted, answer_code::busy}));
+    EXPECT_FALSE(server_received_text("WRITE a b"));
+    EXPECT_TRUE(m_caller->ended);
+}
+
+// Guards against the statements of a transaction that arrive after its end, and get no answer.
+TEST_F(caller_service_test, session_that_ends_now_answers_the_rest_of_its_transaction) {
+    send({sessions::statement_kind::begin, sessions::statement_kind::write,
+          sessions::statement_kind::commit});
+    m_caller->pipelined = true;
+    serve_and_end_while_server_runs("WRITE a b");
+    EXPECT_EQ(m_caller->codes,
+              (std::vector{answer_code::ok, answer_code::aborted, answer_code::aborted}));
+    EXPECT_TRUE(server_received(sessions::command_kind::rollback));
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -23,6 +23,7 @@
         self.fenced = fenced
         self.sync_replicas = sync_replicas
         self.promotion_delay_s = PROMOTION_DELAY_S
+        self.statement_timeout_ms = 1000
         self.refuses_promotions = False
         self.zones = zones
         self.loop = asyncio.new_event_loop()
@@ -111,8 +112,8 @@
     async def publish_again(self):
         """Writes the current configuration version, which a restored store may have lost."""
         routes = [{"name": name, "host": name, "path_prefix": "/", "kind": kind,
-                   "timeout_ms": 1000, "latency_target_ms": 800, "priority": 1,
-                   "service": SERVICE, "max_attempts": 2, "max_staleness_ms": max_staleness_ms,
+                   "timeout_ms": self.statement_timeout_ms, "latency_target_ms": 800,
+                   "priority": 1, "service": SERVICE, "max_attempts": 2, "max_staleness_ms": max_staleness_ms,
                    "public": False} for name, (kind, max_staleness_ms) in ROUTES.items()]
         tenants = [{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": self.rate,
                     "burst": self.burst} for name, keys in self.keys.items()]
--- /dev/null
+++ b/tests/process/stop_answers_test.py
@@ -0,0 +1,133 @@
+"""Tests of the answers to statements that are still running when the grace period of a planned stop
+ends."""
+
+import threading
+import time
+import unittest
+
+from platform_fixtures import STOP_GRACE_S, PlatformTest
+
+# Longer than the grace period.
+LONG_WORK_S = 3.0 * STOP_GRACE_S
+LONG_TIMEOUT_MS = 20000
+# An answer that ends a statement earlier than this before the end of the grace period is too early.
+ANSWER_MARGIN_S = 1.0
+# Servers may take this long from SIGTERM on without a statement that is cut off.
+ALLOWED_WORK_S = STOP_GRACE_S - ANSWER_MARGIN_S
+
+
+class PendingStatement:
+    """A statement that a thread sends and whose answer it waits for."""
+
+    def __init__(self, session, text):
+        self.session = session
+        self.outcome = None
+        self.ended_at = None
+        self.thread = threading.Thread(target=self.run, args=(text,))
+        self.thread.start()
+
+    def run(self, text):
+        try:
+            answer = self.session.run(text)
+            self.outcome = answer.error or "OK"
+        except OSError:
+            self.outcome = "no answer"
+        self.ended_at = time.monotonic()
+
+    def result(self):
+        self.thread.join()
+        return self.outcome
+
+
+class StopAnswersTest(PlatformTest):
+    # Both in one zone, so that one of them runs the statements of both.
+    instance_zones = ("zone-a", "zone-a")
+
+    def setUp(self):
+        super().setUp()
+        # The servers take so long that the primary seems to be lost.
+        self.platform.refuses_promotions = True
+        self.platform.statement_timeout_ms = LONG_TIMEOUT_MS
+        self.platform.call(self.platform.publish)
+        in_force = f"event=configuration version={self.platform.version} "
+        for index, instance in enumerate(self.instances):
+            self.wait(lambda log=instance.log: in_force in log(), "the configuration's log line")
+            self.run_until_done(self.session(index=index), "WRITE a zero")
+
+    def opened(self, index, *texts):
+        session = self.session(index=index)
+        for text in texts:
+            self.assertIsNone(session.run(text).error)
+        return session
+
+    def set_work(self, work_s):
+        for server in self.platform.database.servers.values():
+            server.work_s = work_s
+
+    def start_statements(self, index):
+        """Starts a statement of each kind, all of which the servers are still running."""
+        read, write = self.opened(index), self.opened(index)
+        in_transaction = self.opened(index, "BEGIN", "WRITE b one")
+        commit = self.opened(index, "BEGIN", "WRITE c one")
+        commit_of_reads = self.opened(index, "BEGIN", "READ a")
+        self.set_work(LONG_WORK_S)
+        pending = {"read": PendingStatement(read, "READ a"),
+                   "write": PendingStatement(write, "WRITE a one"),
+                   "transaction": PendingStatement(in_transaction, "READ a"),
+                   "commit": PendingStatement(commit, "COMMIT"),
+                   "commit of reads": PendingStatement(commit_of_reads, "COMMIT")}
+        time.sleep(0.3)
+        return pending
+
+    def stop_instance(self, index):
+        """Returns when SIGTERM was sent. Fails unless the instance ends within the grace period."""
+        stopped_at = time.monotonic()
+        self.instances[index].terminate()
+        self.assertEqual(self.instances[index].process.wait(timeout=STOP_GRACE_S + 2), 0)
+        self.assertLess(time.monotonic() - stopped_at, STOP_GRACE_S)
+        return stopped_at
+
+    # Guards against statements that get no answer because the grace period ends before their servers
+    # answer, and against an answer that promises too much, too little or comes too early.
+    def test_unfinished_statements_are_answered_at_the_end_of_the_grace_period(self):
+        pending = self.start_statements(index=0)
+        stopped_at = self.stop_instance(index=0)
+        outcomes = {name: statement.result() for name, statement in pending.items()}
+        self.assertEqual(outcomes, {"read": "ABORTED", "write": "INDOUBT",
+                                    "transaction": "ABORTED", "commit": "INDOUBT",
+                                    "commit of reads": "ABORTED"})
+        for name, statement in pending.items():
+            self.assertGreater(statement.ended_at - stopped_at, STOP_GRACE_S - ANSWER_MARGIN_S,
+                               name)
+        for statement in pending.values():
+            request = statement.session.last_id
+            self.assertIn(f"request={request} ", self.instances[0].log())
+
+    def check_statements_of_the_other_instance(self, stopped, other):
+        pending = self.start_statements(index=other)
+        self.stop_instance(stopped)
+        outcomes = {name: statement.result() for name, statement in pending.items()}
+        self.assertNotIn("no answer", outcomes.values())
+        # The servers may have run both.
+        self.assertIn(outcomes["write"], ("INDOUBT", "TIMEOUT", "OK"))
+        self.assertIn(outcomes["commit"], ("INDOUBT", "TIMEOUT", "OK"))
+
+    # Guards against statements that get no answer, or one that promises too much, when the gateway
+    # that runs them for another instance ends. One of the two instances is the gateway.
+    def test_statements_of_the_first_instance_are_answered_when_the_second_ends(self):
+        self.check_statements_of_the_other_instance(stopped=1, other=0)
+
+    def test_statements_of_the_second_instance_are_answered_when_the_first_ends(self):
+        self.check_statements_of_the_other_instance(stopped=0, other=1)
+
+    # Guards against an answer that is given although the server's own would come in time.
+    def test_statements_that_end_in_time_get_their_own_answer(self):
+        session = self.opened(0)
+        self.set_work(ALLOWED_WORK_S)
+        pending = PendingStatement(session, "WRITE a one")
+        self.stop_instance(index=0)
+        self.assertEqual(pending.result(), "OK")
+
+
+if __name__ == "__main__":
+    unittest.main()
