Wait for sessions that start while the listener stops

What callers could see, found by reading and not reproduced: a connection that is accepted in the turn of the event loop in which a stopping instance finds no session open starts a session that nobody waits for.

Cause: the stop looked for sessions, then closed the listener, and ended the process without a second look.

Change: the listener is closed first, and the process ends only after a later round without sessions.

--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -129,19 +129,27 @@
     m_gateway.leave();
     co_await pause(std::min(load_balancer_delay, m_settings.stop_grace / 2));
     const std::size_t group = open_sessions().size() / end_groups + 1;
+    bool listening = true;
     while (true) {
         const auto elapsed = steady_clock().now() - started;
         const auto sessions = open_sessions();
         const bool all_closed = std::all_of(sessions.begin(), sessions.end(),
                                             [](const auto& known) { return known->closed(); });
-        if ((all_closed && m_gateway.idle()) ||
-            elapsed > m_settings.stop_grace - forced_close_margin) {
+        const bool all_ended = all_closed && m_gateway.idle();
+        if ((all_ended && !listening) || elapsed > m_settings.stop_grace - forced_close_margin) {
             break;
         }
+        if (all_ended) {
+            // A connection may have been accepted meanwhile; its session starts in this turn of the
+            // event loop, and the next round waits for its end.
+            m_listener->stop();
+            listening = false;
+        }
         if (elapsed > m_settings.stop_grace / 2) {
             // Without instances in rotation, the load balancer uses this one again. A session that
             // starts now might not end in time.
             m_listener->stop();
+            listening = false;
             for (const auto& session : sessions) {
                 session->abort_transaction();
             }
