Let the stand-in's servers take messages of the maximum length

A write of 384 kB ended in INDOUBT on processes: the stand-in's servers read lines with asyncio's default limit of 64 KiB and closed the connection at a longer message. They now take the wire's maximum, so tests can see how long texts pass. message_text_test has one; it failed before.

--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -9,6 +9,8 @@
 from .links import LinkGroups, pass_on_to
 from .store import Store
 
+# The longest message of the wire, with its terminator.
+MAX_MESSAGE_BYTES = 1 << 20
 LOOPBACK = "127.0.0.1"
 PROMOTION_DELAY_S = 0.1
 SERVICE = "db"
@@ -90,7 +92,8 @@
 
     async def start_server(self, server):
         serve = self.links.serve("servers", server.serve)
-        server.listener = await asyncio.start_server(serve, LOOPBACK, server.port)
+        server.listener = await asyncio.start_server(serve, LOOPBACK, server.port,
+                                                     limit=MAX_MESSAGE_BYTES)
         server.port = server.listener.sockets[0].getsockname()[1]
 
     async def register(self, server, state=None):
--- a/tests/process/message_text_test.py
+++ b/tests/process/message_text_test.py
@@ -56,6 +56,14 @@
         self.assertIsNone(self.caller.run("WRITE a end\r").error)
         self.assertEqual(self.caller.run("READ a").rows, ["end\r"])
 
+    # Guards against a long text that is lost on its way to a gateway, and a write that is in doubt.
+    def test_long_text_is_written_through_each_instance(self):
+        text = EVERY_BYTE * 1500
+        for index in range(len(self.instances)):
+            caller = self.session("newest", index=index)
+            self.assertIsNone(caller.run(f"WRITE a {text}").error)
+            self.assertEqual(self.words_run(caller.last_id), [["WRITE", "a", text]])
+
 
 if __name__ == "__main__":
     unittest.main()
