Send long calls between instances

A forwarded statement of more than 64 KiB was lost when it was the first call on a connection: the peer closes a connection whose first frame is longer, as its hello may be a replay. The sender took that for a call that may have run, so a write was in doubt, and the gateway was not used for a while. The same held for calls above the maximum of 2 MiB, which a text of 1 MiB in other bytes than ASCII exceeds.

A long first call now follows a short one on the same connection, after which the peer accepts long ones, and a call above the maximum is not sent: peer_call_too_long says nothing of the peer, and the statement runs through another instance or a connection of its own.

Evidence: tcp_peer_link_test expected the loss of a long first call; that expectation is replaced by tests that it passes and that a long first frame of a raw connection is still closed without an answer.

--- a/src/entry/internal/gateway_link.cpp
+++ b/src/entry/internal/gateway_link.cpp
@@ -99,6 +99,8 @@
                                             std::move(params), deadline);
         answered(instance);
         co_return result;
+    } catch (const links::peer_call_too_long& failure) {
+        throw gateway_refused(failure.what());
     } catch (const links::peer_call_failed& failure) {
         refusal = failure.what();
     } catch (const links::link_error& failure) {
--- a/src/links/internal/tcp_peer_link.cpp
+++ b/src/links/internal/tcp_peer_link.cpp
@@ -31,6 +31,9 @@
 /// A failed machine does not refuse connections; an attempt to connect to it only times out.
 constexpr std::chrono::milliseconds connect_timeout{300};
 
+/// Peers answer a method that they do not know with an error.
+const std::string first_call_method = "first_call";
+
 struct idle_connection {
     endpoint peer;
     connection_ptr connection;
@@ -68,6 +71,8 @@
 private:
     awaitable<connection_ptr> open(const endpoint& peer, clock::time_point deadline);
     awaitable<connection_ptr> connect(const endpoint& peer, clock::time_point deadline);
+    /// Makes a short call, after which the server accepts long ones.
+    awaitable<void> make_first_call(peer_connection& connection);
     awaitable<std::string> exchange(peer_connection& connection, const std::string& request);
     connection_ptr take_idle(const endpoint& peer);
     void store_idle(const endpoint& peer, connection_ptr connection);
@@ -83,9 +88,15 @@
 awaitable<std::string> tcp_peer_link::call(endpoint peer, std::string method, std::string params,
                                            clock::time_point deadline) {
     const std::string request = encode_call(method, params);
+    if (request.size() > max_peer_message_bytes) {
+        throw peer_call_too_long(method + ": the call is longer than the maximum");
+    }
     connection_ptr connection = take_idle(peer);
     if (!connection) {
         connection = co_await open(peer, deadline);
+        if (request.size() > max_first_peer_call_bytes) {
+            co_await make_first_call(*connection);
+        }
     }
     connection->stream.expires_at(deadline);
     const auto started = steady_clock().now();
@@ -105,6 +116,14 @@
     }
 }
 
+awaitable<void> tcp_peer_link::make_first_call(peer_connection& connection) {
+    try {
+        static_cast<void>(co_await exchange(connection, encode_call(first_call_method, "{}")));
+    } catch (const link_error& failure) {
+        throw link_error(failure.what(), false);
+    }
+}
+
 awaitable<std::string> tcp_peer_link::exchange(peer_connection& connection,
                                                const std::string& request) {
     const std::size_t before = connection.bytes;
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -29,11 +29,6 @@
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 constexpr std::chrono::milliseconds accept_retry_delay{100};
 
-/// Only the caller's first sealed frame proves that its hello is not a replay. Until then the
-/// server allocates no more than this, which is enough for any first request except a bulk
-/// transfer.
-constexpr std::size_t max_first_frame_bytes = std::size_t{64} << 10U;
-
 constexpr int refusals_per_log_line = 100;
 
 /// Accepts peer connections and serves their calls. Shared by the coroutines of all connections, so
@@ -120,7 +115,7 @@
     connection.session.accept_hello(hello);
     std::string answered = connection.session.hello();
     co_await write_peer_frame(connection, std::move(answered));
-    std::size_t limit = max_first_frame_bytes;
+    std::size_t limit = max_first_peer_call_bytes + peer_seal_bytes;
     while (!m_stopped) {
         const std::string frame = co_await read_peer_frame(connection, limit);
         std::string request = connection.session.open(frame);
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -24,6 +24,13 @@
     using error::error;
 };
 
+/// The call is longer than max_peer_message_bytes. Nothing was sent, so it says nothing of the
+/// peer.
+class peer_call_too_long : public error {
+public:
+    using error::error;
+};
+
 /// The peer's machine refused the connection because no process listens on the address, so the
 /// instance has ended.
 class peer_not_running : public error {
@@ -41,6 +48,10 @@
 /// Largest message between instances, in bytes. Large enough for one object of the platform.
 inline constexpr std::size_t max_peer_message_bytes = std::size_t{2} << 20U;
 
+/// Largest first call on a connection, in bytes. Only the caller's first sealed frame proves that
+/// its hello is not a replay; until then the server allocates no more than this.
+inline constexpr std::size_t max_first_peer_call_bytes = std::size_t{64} << 10U;
+
 /// Calls methods of other instances. Connections are kept open and reused; each carries one call at
 /// a time. Not thread-safe; used on the executor of the control thread.
 class peer_link {
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace oriole::links {
 namespace {
@@ -81,13 +82,58 @@
     EXPECT_EQ(received, "");
 }
 
-// Guards against a server that allocates a large frame for an unauthenticated peer, and against a
-// server that keeps the small frame limit for an authenticated peer.
-TEST_F(tcp_peer_link_test, large_request_after_first_call_passes) {
+// Guards against a long call that is lost because it is the first one on its connection, and
+// against a server that keeps the small frame limit for an authenticated peer.
+TEST_F(tcp_peer_link_test, large_request_passes_as_first_and_as_later_call) {
     const std::string large = R"({"text":")" + std::string(1'000'000, 'x') + R"("})";
-    EXPECT_THROW(call(*m_link, "echo", large), link_error);
+    EXPECT_EQ(call(*m_link, "echo", large), large);
     EXPECT_EQ(call(*m_link, "echo", "{}"), "{}");
     EXPECT_EQ(call(*m_link, "echo", large), large);
+    EXPECT_EQ(m_calls, 3);
+}
+
+// Guards against a server that allocates a large frame for a peer whose hello may be a replay.
+TEST_F(tcp_peer_link_test, large_first_frame_is_closed_without_response) {
+    const auto address = m_server->address();
+    tcp::socket socket(m_io);
+    socket.connect({asio::ip::make_address(address.address()), address.port()});
+    peer_session session(peer_side::caller, derive_peer_key({"secret"}), make_peer_challenge());
+    asio::write(socket, asio::buffer(with_peer_length(session.hello())));
+    std::string hello(peer_length_bytes + peer_hello_bytes, '\0');
+    auto greeted = asio::async_read(socket, asio::buffer(hello), asio::use_future);
+    while (greeted.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+        m_io.run_one();
+    }
+    session.accept_hello(std::string_view(hello).substr(peer_length_bytes));
+    const std::string first = session.seal(std::string(max_first_peer_call_bytes + 1, ' '));
+    asio::write(socket, asio::buffer(with_peer_length(first).substr(0, peer_length_bytes)));
+    std::string received;
+    auto done = asio::async_read(socket, asio::dynamic_buffer(received), asio::use_future);
+    while (done.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+        m_io.run_one();
+    }
+    EXPECT_THROW(done.get(), boost::system::system_error);
+    EXPECT_EQ(received, "");
+}
+
+// Guards against a call that is too long and counts as one that the peer may have run.
+TEST_F(tcp_peer_link_test, call_above_the_maximum_is_not_sent) {
+    const std::string large = R"({"text":")" + std::string(max_peer_message_bytes, 'x') + R"("})";
+    EXPECT_THROW(call(*m_link, "echo", large), peer_call_too_long);
+    EXPECT_EQ(m_calls, 0);
+    EXPECT_EQ(m_link->bytes(), 0U);
+}
+
+// Guards against a text of a caller that is changed between two instances.
+TEST_F(tcp_peer_link_test, every_character_passes_unchanged) {
+    std::string text = R"({"text":")";
+    for (int code = 0; code <= 0xff; ++code) {
+        constexpr std::string_view digits = "0123456789abcdef";
+        text += std::string("\\u00") + digits[static_cast<unsigned>(code) >> 4U] +
+                digits[static_cast<unsigned>(code) & 0x0fU];
+    }
+    text += R"("})";
+    EXPECT_EQ(nlohmann::json::parse(call(*m_link, "echo", text)), nlohmann::json::parse(text));
 }
 
 // Guards against handler errors that close the connection or are reported as an unreachable peer.
