Keep each finding and each entry of a history on a line

oriolectl and the checks of settings print a finding a line. A name in a file, or a comment of a change, with a line feed added a line of its own, such as a finding for another place or a generation by another author, and one with ESC controlled the terminal.

Control characters are now printed as \xNN in findings, in the history and in stored entries. JSON output was not affected.

--- a/src/base/internal/finding.cpp
+++ b/src/base/internal/finding.cpp
@@ -1,5 +1,7 @@
 #include "base/types/finding.h"
 
+#include "base/one_line.h"
+
 #include <algorithm>
 
 namespace oriole {
@@ -16,7 +18,7 @@
     if (!value.object.empty()) {
         text += "object " + value.object + ": ";
     }
-    return text + value.message;
+    return one_line(text + value.message);
 }
 
 } // namespace oriole
--- a/src/ctl/internal/history_command.cpp
+++ b/src/ctl/internal/history_command.cpp
@@ -1,5 +1,6 @@
 #include "ctl/internal/history_command.h"
 
+#include "base/one_line.h"
 #include "ctl/internal/platform_site.h"
 
 #include <nlohmann/json.hpp>
@@ -18,8 +19,8 @@
                         {"operation", head.operation_id()}});
         return;
     }
-    output.out << head.number() << "  " << head.time() << "  " << head.author() << "  "
-               << head.comment() << "\n";
+    output.out << head.number() << "  " << one_line(head.time()) << "  " << one_line(head.author())
+               << "  " << one_line(head.comment()) << "\n";
 }
 
 } // namespace
--- a/src/ctl/internal/stored_entries_command.cpp
+++ b/src/ctl/internal/stored_entries_command.cpp
@@ -1,5 +1,6 @@
 #include "ctl/internal/stored_entries_command.h"
 
+#include "base/one_line.h"
 #include "ctl/internal/platform_site.h"
 
 #include <nlohmann/json.hpp>
@@ -22,7 +23,7 @@
             auto entry = nlohmann::json::parse(stored->value, nullptr, false);
             list[path] = entry.is_discarded() ? nlohmann::json(nullptr) : std::move(entry);
         } else {
-            output.out << path << "  " << stored->value << "\n";
+            output.out << one_line(path) << "  " << one_line(stored->value) << "\n";
         }
     }
     if (output.json()) {
--- a/src/ctl/tests/ctl_module_test.cpp
+++ b/src/ctl/tests/ctl_module_test.cpp
@@ -58,6 +58,17 @@
     EXPECT_EQ(m_out.str(), "generation 1 unchanged, there is no difference\n");
 }
 
+// Guards against a comment that adds a generation of its own to the history.
+TEST_F(ctl_module_test, history_has_one_line_for_each_generation) {
+    ASSERT_EQ(apply_example(), 0) << m_err.str();
+    ASSERT_EQ(run({"zone", "out", "ch-central-b", "--comment", "first\n9  2026-01-01  eve  x"}), 0)
+        << m_err.str();
+    ASSERT_EQ(run({"history"}), 0);
+    const std::string history = m_out.str();
+    EXPECT_EQ(std::count(history.begin(), history.end(), '\n'), 2) << history;
+    EXPECT_NE(history.find("first\\x0a9"), std::string::npos) << history;
+}
+
 // Guards against a change that is applied twice or reported as failed when responses of the
 // platform are lost.
 TEST_F(ctl_module_test, lost_responses_leave_one_generation_and_one_audit_entry) {
