Keep paths of objects inside requests of oriolectl

oriolectl copied the path of each listed object into its requests. An entry with a blank or CR LF in its path broke the request or became one of its own to the platform, under the operator's hand.

The encoding of URLs, of which the links to both platforms had one each, is now in base, and oriolectl uses it too.

Evidence: ctl_module_test.path_of_an_object_stays_one_part_of_the_request failed before.

--- a/platform/url_encoding.cpp
+++ b/src/base/internal/url_encoding.cpp
@@ -1,6 +1,6 @@
-#include "url_encoding.h"
+#include "base/url_encoding.h"
 
-namespace oriole::platform {
+namespace oriole {
 namespace {
 
 constexpr std::string_view hexadecimal_digits = "0123456789ABCDEF";
@@ -15,12 +15,10 @@
     return letter || digit || unreserved_marks.find(character) != std::string_view::npos;
 }
 
-} // namespace
-
-std::string encode_url_part(std::string_view text) {
+std::string encode(std::string_view text, std::string_view unchanged_marks) {
     std::string out;
     for (const char character : text) {
-        if (is_unreserved(character)) {
+        if (is_unreserved(character) || unchanged_marks.find(character) != std::string_view::npos) {
             out.append(1, character);
             continue;
         }
@@ -32,4 +30,14 @@
     return out;
 }
 
-} // namespace oriole::platform
+} // namespace
+
+std::string encode_url_part(std::string_view text) {
+    return encode(text, "");
+}
+
+std::string encode_url_path(std::string_view text) {
+    return encode(text, "/");
+}
+
+} // namespace oriole
--- a/src/ctl/internal/http_object_store.cpp
+++ b/src/ctl/internal/http_object_store.cpp
@@ -1,5 +1,6 @@
 #include "ctl/internal/http_object_store.h"
 
+#include "base/url_encoding.h"
 #include "ctl/internal/endpoint_text.h"
 
 #include <nlohmann/json.hpp>
@@ -64,7 +65,7 @@
 } // namespace
 
 std::optional<site::store_value> http_object_store::get(const std::string& path) {
-    auto response = send({"GET", objects_target + path, {}, {}});
+    auto response = send({"GET", objects_target + encode_url_path(path), {}, {}});
     if (response.status == status_not_found) {
         return std::nullopt;
     }
@@ -80,7 +81,7 @@
                                      const std::string& operation_id) {
     const http_request request{
         "PUT",
-        objects_target + path,
+        objects_target + encode_url_path(path),
         {{"If-Match", std::to_string(expected_version)}, {"Oriole-Operation", operation_id}},
         value};
     for (int i = 0; i < max_put_attempts; ++i) {
@@ -115,7 +116,8 @@
 
 std::vector<std::string> http_object_store::list(const std::string& prefix) {
     std::vector<std::string> paths;
-    for (const auto& entry : parse_list(send({"GET", "/v1/objects?prefix=" + prefix, {}, {}}))) {
+    for (const auto& entry :
+         parse_list(send({"GET", "/v1/objects?prefix=" + encode_url_path(prefix), {}, {}}))) {
         paths.push_back(entry.is_object() ? entry.value("path", "") : "");
     }
     std::sort(paths.begin(), paths.end());
@@ -144,7 +146,7 @@
 std::optional<std::uint64_t>
 http_object_store::find_version_written_by(const std::string& path,
                                            const std::string& operation_id) {
-    const auto response = send({"GET", objects_target + path, {}, {}});
+    const auto response = send({"GET", objects_target + encode_url_path(path), {}, {}});
     const bool own =
         response.status == status_ok && header(response, "oriole-operation") == operation_id;
     return own ? std::optional(version_of(response)) : std::nullopt;
--- a/src/ctl/tests/ctl_module_test.cpp
+++ b/src/ctl/tests/ctl_module_test.cpp
@@ -58,6 +58,14 @@
     EXPECT_EQ(m_out.str(), "generation 1 unchanged, there is no difference\n");
 }
 
+// Guards against an object whose path becomes a request of its own to the platform.
+TEST_F(ctl_module_test, path_of_an_object_stays_one_part_of_the_request) {
+    m_system.network.objects["audit/a b?c\r\nDELETE /v1/objects/config/head"] = {"{}", 1, "o"};
+    ASSERT_EQ(run({"audit"}), 0) << m_err.str();
+    EXPECT_EQ(m_system.network.targets.back(),
+              "/v1/objects/audit/a%20b%3Fc%0D%0ADELETE%20/v1/objects/config/head");
+}
+
 // Guards against a comment that adds a generation of its own to the history.
 TEST_F(ctl_module_test, history_has_one_line_for_each_generation) {
     ASSERT_EQ(apply_example(), 0) << m_err.str();
--- a/src/ctl/tests/fake_environment.h
+++ b/src/ctl/tests/fake_environment.h
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace oriole::ctl {
 
@@ -24,6 +25,7 @@
 
     [[nodiscard]] http_response send(const endpoint& server, const http_request& request,
                                      std::chrono::milliseconds) override {
+        targets.push_back(request.target);
         if (!reachable) {
             throw http_failure("the fake platform refuses connections");
         }
@@ -35,9 +37,9 @@
         }
         const std::string objects_target = "/v1/objects/";
         if (!request.target.starts_with(objects_target)) {
-            return {200, {}, list(request.target.substr(request.target.find('=') + 1))};
+            return {200, {}, list(decoded(request.target.substr(request.target.find('=') + 1)))};
         }
-        const std::string path = request.target.substr(objects_target.size());
+        const std::string path = decoded(request.target.substr(objects_target.size()));
         auto response = request.method == "PUT" ? put(path, request) : get(path);
         if (request.method == "PUT" && lost_responses > 0) {
             --lost_responses;
@@ -47,12 +49,29 @@
     }
 
     bool reachable = true;
+    std::vector<std::string> targets; ///< of all requests
     int lost_responses = 0;
     std::map<std::string, object> objects;
     std::map<std::string, std::uint64_t>
         confirmed; ///< generation that an instance reports, by admin address
 
 private:
+    /// Replaces each `%NN`, as a server does.
+    [[nodiscard]] static std::string decoded(const std::string& text) {
+        constexpr int hexadecimal = 16;
+        std::string out;
+        for (std::size_t at = 0; at < text.size(); ++at) {
+            if (text[at] != '%') {
+                out.push_back(text[at]);
+                continue;
+            }
+            out.push_back(
+                static_cast<char>(std::stoi(text.substr(at + 1, 2), nullptr, hexadecimal)));
+            at += 2;
+        }
+        return out;
+    }
+
     [[nodiscard]] std::string instances() const {
         auto list = nlohmann::json::array();
         for (const auto& [admin, number] : confirmed) {
--- a/src/links/internal/http_platform_link.cpp
+++ b/src/links/internal/http_platform_link.cpp
@@ -1,6 +1,7 @@
 #include "links/platform_link.h"
 
 #include "base/clock.h"
+#include "base/url_encoding.h"
 #include "links/backend_codec.h"
 #include "links/internal/instance_json.h"
 
@@ -71,25 +72,6 @@
     std::optional<read_object> object;
 };
 
-std::string percent_encode(const std::string& text) {
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    constexpr std::string_view plain = "-._~/";
-    constexpr unsigned low_bits = 0x0FU;
-    std::string encoded;
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-        if (letter || (c >= '0' && c <= '9') || plain.find(c) != std::string_view::npos) {
-            encoded += c;
-            continue;
-        }
-        encoded += '%';
-        encoded += digits[byte >> 4U];
-        encoded += digits[byte & low_bits];
-    }
-    return encoded;
-}
-
 std::uint64_t read_version(const http_response& answer) {
     const std::string text(answer["Oriole-Version"]);
     std::uint64_t version = 0;
@@ -146,7 +128,7 @@
 
     awaitable<std::vector<object_change>> list(std::string prefix) override {
         const http_request request =
-            make_request(http::verb::get, "/v1/objects?prefix=" + percent_encode(prefix));
+            make_request(http::verb::get, "/v1/objects?prefix=" + encode_url_path(prefix));
         const http_response answer = co_await call(request, call_timeout);
         co_return read_body(answer, read_changes);
     }
@@ -157,7 +139,7 @@
 
     awaitable<void> withdraw(instance_id self) override {
         const http_request request =
-            make_request(http::verb::delete_, "/v1/instances/" + percent_encode(self.str()));
+            make_request(http::verb::delete_, "/v1/instances/" + encode_url_part(self.str()));
         co_await call(request, call_timeout);
     }
 
@@ -187,7 +169,7 @@
 awaitable<std::uint64_t> http_platform_link::put(std::string path, std::string value,
                                                  std::uint64_t expected_version,
                                                  std::string operation_id) {
-    http_request request = make_request(http::verb::put, "/v1/objects/" + percent_encode(path));
+    http_request request = make_request(http::verb::put, "/v1/objects/" + encode_url_path(path));
     request.set(http::field::if_match, std::to_string(expected_version));
     request.set("Oriole-Operation", operation_id);
     request.body() = std::move(value);
@@ -224,7 +206,7 @@
 awaitable<watch_result> http_platform_link::watch(std::string prefix, std::uint64_t revision,
                                                   milliseconds wait) {
     const http_request request =
-        make_request(http::verb::get, "/v1/watch?prefix=" + percent_encode(prefix) +
+        make_request(http::verb::get, "/v1/watch?prefix=" + encode_url_path(prefix) +
                                           "&after=" + std::to_string(revision) +
                                           "&wait_ms=" + std::to_string(wait.count()));
     const http_response answer = co_await call(request, wait + call_timeout);
@@ -236,7 +218,7 @@
 
 awaitable<void> http_platform_link::announce(machines::instance self) {
     http_request request =
-        make_request(http::verb::put, "/v1/instances/" + percent_encode(self.id().str()));
+        make_request(http::verb::put, "/v1/instances/" + encode_url_part(self.id().str()));
     request.body() = instance_to_json(self).dump();
     request.prepare_payload();
     co_await call(request, call_timeout);
@@ -256,7 +238,7 @@
 
 awaitable<std::optional<read_object>> http_platform_link::read(const std::string& path) {
     const http_request request =
-        make_request(http::verb::get, "/v1/objects/" + percent_encode(path));
+        make_request(http::verb::get, "/v1/objects/" + encode_url_path(path));
     const exchange_result result = co_await exchange(request, call_timeout);
     if (!result.answer) {
         throw platform_unreachable("read of " + path + " failed: " + result.failure);
