Keep the process when an answer's transaction state does not fit

Callers saw every session of every instance end, one instance after the other. finish_primary took any success in state T for the first statement of a transaction; for a write outside a transaction there is no transaction to set, and a null pointer was dereferenced. One server that repeats an answer of a transaction while a write runs ends each instance that the callers retry at.

A success in a state that its statement cannot lead to is not that statement's answer: the connection is closed, a write is in doubt, a read is tried again. That also holds for the first write of a transaction that is answered in state I, since it may have run outside the transaction.

Evidence: statement_runner_test.write_that_is_answered_as_in_a_transaction_is_in_doubt ended by SIGSEGV before, first_write_that_is_answered_as_outside_a_transaction_is_in_doubt and read_that_is_answered_as_in_a_transaction_runs_at_another_server failed, and repeated_answers_test.test_write_answered_as_in_a_transaction_does_not_end_the_instance lost its session to an instance that had ended.

--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -14,6 +14,7 @@
 using sessions::command_kind;
 using sessions::server_command;
 using sessions::statement_kind;
+using sessions::transaction_state;
 
 /// Time limit for one attempt at a read, after which the read is retried at another server.
 constexpr clock::duration read_attempt_timeout = 400ms;
@@ -193,6 +194,7 @@
     outcome.answer = std::move(result.answer);
     const bool begins = transaction != nullptr;
     const bool rolls_back = !required && !begins;
+    const auto expected = begins || rolls_back ? transaction_state::open : transaction_state::none;
     if (result.status == exchange_status::timed_out) {
         // The server may still be running the read; the connection returns to the pool after its
         // answer.
@@ -204,15 +206,18 @@
         if (!may_retry(outcome.answer.code)) {
             outcome.answer.code = answer_code::aborted;
         }
+    } else if (outcome.answer.code == answer_code::ok && outcome.answer.state != expected) {
+        pool->discard(std::move(connection));
+        outcome.answer.code = answer_code::aborted;
     } else if (rolls_back) {
-        outcome.answer.state = sessions::transaction_state::none;
+        outcome.answer.state = transaction_state::none;
         pool->release_after_answers(std::move(connection), result.answers_due);
     } else if (begins && outcome.answer.code == answer_code::ok) {
         *transaction = std::make_unique<open_transaction>();
         (*transaction)->pool = pool;
         (*transaction)->connection = std::move(connection);
         (*transaction)->at_primary = !required;
-    } else if (outcome.answer.state != sessions::transaction_state::none) {
+    } else if (outcome.answer.state != transaction_state::none) {
         pool->discard(std::move(connection));
     } else {
         pool->release(std::move(connection));
@@ -253,11 +258,13 @@
     outcome.answer = std::move(result.answer);
     const bool commits = m_run.statement.kind == statement_kind::commit;
     const bool commits_now = transaction == nullptr || commits;
+    const auto expected = commits_now ? transaction_state::none : transaction_state::open;
+    const bool succeeded =
+        result.status == exchange_status::answered && outcome.answer.code == answer_code::ok;
     if (result.status == exchange_status::answered && commits_now &&
-        outcome.answer.state == sessions::transaction_state::none) {
+        outcome.answer.state == transaction_state::none) {
         pool->release(std::move(connection));
-    } else if (result.status == exchange_status::answered &&
-               outcome.answer.code == answer_code::ok) {
+    } else if (succeeded && outcome.answer.state == expected) {
         *transaction = std::make_unique<open_transaction>();
         (*transaction)->pool = pool;
         (*transaction)->connection = std::move(connection);
@@ -266,7 +273,12 @@
     } else {
         // Closing the connection rolls back the transaction that is open on it.
         pool->discard(std::move(connection));
-        outcome.answer.code = code_after_failure(result.status, outcome.answer.code, commits_now);
+        // An answer in another state is not the statement's answer, which may have run outside the
+        // transaction.
+        const bool mismatch = succeeded;
+        const bool may_be_committed = commits_now || (mismatch && m_run.decision.writes);
+        const auto status = mismatch ? exchange_status::connection_lost : result.status;
+        outcome.answer.code = code_after_failure(status, outcome.answer.code, may_be_committed);
     }
     return with_server(std::move(outcome), *pool, std::nullopt);
 }
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -29,6 +29,8 @@
     /// The answer to this kind of command is lost, but later answers arrive.
     std::optional<sessions::command_kind> loses_answer_to;
     clock::duration answer_delay{}; ///< time before each answer
+    /// The transaction state in the answers to callers' statements, instead of the actual one.
+    std::optional<sessions::transaction_state> claimed_state;
     std::vector<sessions::server_command> received;
     int connections = 0;
     int opened = 0;
@@ -123,7 +125,7 @@
             const bool runs_statement = command.kind == command_kind::caller_statement ||
                                         command.kind == command_kind::execute;
             answer.signature = runs_statement ? "signed" : "";
-            answer.state = m_state;
+            answer.state = runs_statement ? m_script->claimed_state.value_or(m_state) : m_state;
             return answer;
         }
 
--- a/src/entry/tests/statement_runner_test.cpp
+++ b/src/entry/tests/statement_runner_test.cpp
@@ -167,6 +167,33 @@
     EXPECT_EQ(m_servers.at("replica").opened, 1);
 }
 
+// Guards against a process that ends, because the success of a write outside a transaction, which
+// is the repeated answer to another statement, says that a transaction is open.
+TEST_F(statement_runner_test, write_that_is_answered_as_in_a_transaction_is_in_doubt) {
+    m_servers.at("primary").claimed_state = sessions::transaction_state::open;
+    EXPECT_EQ(run_autocommit("WRITE a b", true).answer.code, answer_code::in_doubt);
+    EXPECT_EQ(m_servers.at("primary").connections, 0);
+}
+
+// Guards against a transaction whose first write was answered as one that ran outside it: a promise
+// that nothing was kept, or a later commit that commits nothing.
+TEST_F(statement_runner_test, first_write_that_is_answered_as_outside_a_transaction_is_in_doubt) {
+    m_servers.at("primary").claimed_state = sessions::transaction_state::none;
+    EXPECT_EQ(run_first("WRITE a b", false, true).answer.code, answer_code::in_doubt);
+    EXPECT_FALSE(m_transaction);
+    EXPECT_EQ(m_servers.at("primary").connections, 0);
+}
+
+// Guards against a caller that is told of a transaction which it has not begun.
+TEST_F(statement_runner_test, read_that_is_answered_as_in_a_transaction_runs_at_another_server) {
+    prove({1, 10});
+    m_servers.at("replica").claimed_state = sessions::transaction_state::open;
+    const auto outcome = run_autocommit("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    EXPECT_EQ(outcome.answer.state, sessions::transaction_state::none);
+    EXPECT_EQ(outcome.server, server_name("primary"));
+}
+
 /// The same with leases on the primary, as on platforms where a replaced primary keeps accepting
 /// writes.
 class leased_statement_runner_test : public statement_runner_test {
--- a/tests/process/repeated_answers_test.py
+++ b/tests/process/repeated_answers_test.py
@@ -29,6 +29,16 @@
             server.repeat_delay_s = delay_s
             server.repeated_answers = answers
 
+    def repeat_next(self, delay_s):
+        """Lets the primary send its next answer a second time."""
+        self.primary.repeat_delay_s = delay_s
+        self.primary.repeated_answers = 1
+
+    def tearDown(self):
+        # Guards against an answer that ends an instance, and with it all of its callers' sessions.
+        for instance in self.instances:
+            self.assertIsNone(instance.process.poll(), instance.log()[-2000:])
+
     def assert_own_answer(self, session, answer, rows):
         if answer.error is not None:
             return
@@ -85,6 +95,24 @@
                 self.assertFalse(committed)
             session.close()
 
+    # Guards against an instance that ends when the repeated answer to a statement of a transaction
+    # arrives while a write outside a transaction runs on the same connection.
+    def test_write_answered_as_in_a_transaction_does_not_end_the_instance(self):
+        session = self.session("newest")
+        self.run_until_done(session, "READ item0")
+        session.run("BEGIN")
+        self.primary.work_s = 2.5 * WORK_S
+        session.run("READ item0")
+        self.repeat_next(4.5 * WORK_S)
+        session.run("READ item1")
+        session.run("ROLLBACK")
+        time.sleep(3 * WORK_S)
+        answer = session.run("WRITE mark once")
+        self.assert_own_answer(session, answer, [])
+        self.assertNotIn(answer.error, PROMISES)
+        time.sleep(0.2)
+        self.assertEqual([data for _, _, data in self.primary.log].count("once"), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
