Reject server answers whose lines are not in sequence

Callers could get an answer that was put together from two: answer_reader took READY alone for a success (the answer to CONNECT, sent twice, acknowledged the next command), a second COMPLETE replaced the first, and rows after COMPLETE were added to it. A READY line without a position or a COMPLETE line without a signature passed as well.

Now a line that the protocol does not allow at its place ends the connection with unexpected_answer, a kind of server_unreachable. CONNECT has a reader of its own: READY or ERROR, nothing else. Rows before an ERROR stay allowed, as the protocol says so.

--- a/src/entry/server_channel.h
+++ b/src/entry/server_channel.h
@@ -28,6 +28,14 @@
     using server_unreachable::server_unreachable;
 };
 
+/// What the backend server sent cannot be the answer to the command that is due. Servers may repeat
+/// answers, and nothing in an answer names its command, so the connection says nothing certain
+/// about that command any more.
+class unexpected_answer : public server_unreachable {
+public:
+    using server_unreachable::server_unreachable;
+};
+
 /// The account that a connection is opened for, and the server that is expected at the address.
 struct connection_request {
     endpoint address;
