Check each answer of a server against the command that is due

Callers got rows and signatures of other statements: servers answer the commands of a connection in sequence, nothing in an answer names its command, and the next answer was taken for that of the latest request. A server that repeats an answer, at once or seconds later, shifts all that follow by one. Bytes that nothing had asked for were looked for only when an idle connection was taken.

Cause: nothing compared an answer with the commands of its connection. Now sessions/answer_matcher does: the success of a caller's statement has a signature that the connection has never carried (hashes of 1,024 are kept, then the connection is replaced), other successes have none and no rows, and the transaction state is the one that the command leads to. entry/internal/checked_connector applies it to every channel, of the traffic thread and of the control thread, and looks for bytes that are not due before each send: a statement behind such bytes has not been sent, so it is tried again or its transaction is aborted. An answer that does not match ends the connection. A write or commit is in doubt, also the first write of a transaction, whose begin may have been acknowledged by another answer; a read is tried at another server. The server does not count as failing, and a status query not as refused. Each such connection is logged (event=unexpected_answer) and counted (oriole_unexpected_answers_total).

In the set-up of test_statements_of_a_transaction_get_their_own_answers the repetitions now stop: they aborted the first read of the next transaction, and the test waited for a success in a failed transaction.

What this leaves open: the repetition of an error.

--- /dev/null
+++ b/src/entry/internal/checked_connector.cpp
@@ -0,0 +1,135 @@
+#include <utility>
+
+#include "entry/internal/checked_connector.h"
+
+#include "sessions/answer_matcher.h"
+
+#include <string>
+#include <string_view>
+
+namespace oriole::entry {
+namespace {
+
+namespace asio = boost::asio;
+using sessions::server_answer;
+
+class checked_channel final : public server_channel {
+public:
+    checked_channel(std::shared_ptr<server_channel> channel, decision_log& log,
+                    metric& unexpected_answers)
+        : m_channel(std::move(channel)), m_log(log), m_unexpected_answers(unexpected_answers) {}
+
+    asio::awaitable<server_answer> open(connection_request request,
+                                        clock::duration limit) override {
+        m_server = request.server;
+        m_account = request.account;
+        server_answer answer;
+        try {
+            answer = co_await m_channel->open(std::move(request), limit);
+        } catch (const unexpected_answer& unexpected) {
+            report(unexpected.what());
+            throw;
+        }
+        if (answer.code == sessions::answer_code::ok &&
+            answer.state != sessions::transaction_state::none) {
+            reject(to_string(sessions::answer_mismatch::state_impossible));
+        }
+        co_return answer;
+    }
+
+    asio::awaitable<void> send(std::vector<sessions::server_command> commands,
+                               clock::duration limit) override {
+        if (!m_matcher.answer_due()) {
+            throw_if_unusable();
+        }
+        for (const auto& command : commands) {
+            m_matcher.sent(command);
+        }
+        co_await m_channel->send(std::move(commands), limit);
+    }
+
+    asio::awaitable<server_answer> receive(clock::duration limit) override {
+        server_answer answer;
+        try {
+            answer = co_await m_channel->receive(limit);
+        } catch (const unexpected_answer& unexpected) {
+            report(unexpected.what());
+            throw;
+        }
+        if (const auto mismatch = m_matcher.received(answer)) {
+            reject(to_string(*mismatch));
+        }
+        co_return answer;
+    }
+
+    bool broken() override {
+        if (m_reported || m_matcher.used_up() || m_matcher.answer_due()) {
+            return true;
+        }
+        if (m_channel->has_input()) {
+            report(to_string(sessions::answer_mismatch::no_command_due));
+            return true;
+        }
+        return m_channel->broken();
+    }
+
+    bool has_input() override { return m_channel->has_input(); }
+
+    void close() noexcept override { m_channel->close(); }
+
+private:
+    void throw_if_unusable() {
+        if (m_reported || m_channel->has_input()) {
+            report(to_string(sessions::answer_mismatch::no_command_due));
+            throw connection_unusable("the backend server sent data that answer no command");
+        }
+        if (m_channel->broken()) {
+            throw connection_unusable("the backend server has closed the connection");
+        }
+    }
+
+    [[noreturn]] void reject(std::string_view reason) {
+        report(reason);
+        std::string text("the answer is not that of the command that is due: ");
+        text.append(reason);
+        throw unexpected_answer(text);
+    }
+
+    /// Logs and counts that the connection is given up, once.
+    void report(std::string_view reason) {
+        if (std::exchange(m_reported, true)) {
+            return;
+        }
+        m_unexpected_answers.add();
+        log_entry line("unexpected_answer");
+        line.add("server", m_server.str()).add("account", m_account.str());
+        if (const auto id = m_matcher.due_id(); !id.empty()) {
+            line.add("request", id);
+        }
+        line.add("reason", reason).add("outcome", "connection_closed");
+        m_log.write(line);
+    }
+
+    std::shared_ptr<server_channel> m_channel;
+    decision_log& m_log;
+    metric& m_unexpected_answers;
+    sessions::answer_matcher m_matcher;
+    server_name m_server;
+    account_name m_account;
+    bool m_reported = false;
+};
+
+} // namespace
+
+checked_connector::checked_connector(server_connector& connector, decision_log& log,
+                                     metric_registry& metrics)
+    : m_connector(connector),
+      m_log(log),
+      m_unexpected_answers(metrics.get("oriole_unexpected_answers_total")) {}
+
+std::shared_ptr<server_channel> checked_connector::make_channel(asio::any_io_executor executor) {
+    return std::make_shared<checked_channel>(m_connector.make_channel(std::move(executor)), m_log,
+                                             m_unexpected_answers);
+}
+
+} // namespace oriole::entry
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -48,7 +48,8 @@
       m_fleet(fleet),
       m_orders(orders),
       m_authority(authority),
-      m_queries(m_executor, connector, log),
+      m_connector(connector, log, metrics),
+      m_queries(m_executor, m_connector, log),
       m_survey(
           m_fleet, m_queries,
           [this](const server_name& server) { return m_refused_until.contains(server); },
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -4,6 +4,7 @@
 
 #include "base/decision_log.h"
 #include "base/metric_registry.h"
+#include "entry/internal/checked_connector.h"
 #include "entry/internal/fleet_state.h"
 #include "entry/internal/lease_revoker.h"
 #include "entry/internal/promotion_orders.h"
@@ -89,6 +90,7 @@
     fleet_state& m_fleet;
     promotion_orders& m_orders;
     promotion_authority& m_authority;
+    checked_connector m_connector;
     server_queries m_queries;
     replica_survey m_survey;
     lease_revoker& m_leases;
--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -62,7 +62,7 @@
             }
             result.answer = co_await m_connection.channel->receive(remaining());
             if (result.answer.code == answer_code::ok && result.answer.signature.empty()) {
-                throw server_unreachable(
+                throw unexpected_answer(
                     "the answer to the statement was lost; received the answer to a later command");
             }
             --m_answers_due;
@@ -73,6 +73,16 @@
             result.status =
                 m_statement_sent ? exchange_status::timed_out : exchange_status::not_run;
             result.answer.code = answer_code::timed_out;
+        } catch (const connection_unusable&) {
+            result.status = exchange_status::not_run;
+            result.answer.code = answer_code::aborted;
+        } catch (const unexpected_answer&) {
+            // It does not show that the server is failing.
+            result.unexpected_answer = true;
+            result.status =
+                m_statement_sent ? exchange_status::connection_lost : exchange_status::not_run;
+            result.answer = {};
+            result.answer.code = answer_code::aborted;
         } catch (const server_unreachable&) {
             m_pool.mark_failed(steady_clock().now());
             result.status =
--- a/src/entry/internal/server_exchange.h
+++ b/src/entry/internal/server_exchange.h
@@ -26,6 +26,7 @@
     sessions::server_answer answer; ///< answer to the statement, or to the command that was refused
     clock::time_point asked{};      ///< boot clock's time before anything was sent
     int answers_due = 0;            ///< answers that the server has yet to send on the connection
+    bool unexpected_answer = false; ///< an answer was received that cannot be attributed
 
     friend bool operator==(const exchange_result&, const exchange_result&) = default;
 };
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -89,7 +89,7 @@
 }
 
 void server_pool::release(std::unique_ptr<pooled_connection> connection) {
-    if (m_open_connections > m_limit) {
+    if (m_open_connections > m_limit || connection->channel->broken()) {
         discard(std::move(connection));
         return;
     }
@@ -136,6 +136,8 @@
                 self->release(std::move(held));
                 co_return;
             }
+        } catch (const unexpected_answer&) {
+            // It does not show that the server is failing.
         } catch (const server_unreachable&) {
             self->mark_failed(steady_clock().now());
         }
@@ -300,6 +302,8 @@
         } else if (answer.code == answer_code::connection_limit) {
             m_no_new_connections_until = steady_clock().now() + connection_limit_backoff;
         }
+    } catch (const unexpected_answer&) {
+        grant.refusal = answer_code::aborted;
     } catch (const server_unreachable&) {
         mark_failed(steady_clock().now());
         grant.refusal = answer_code::aborted;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -63,7 +63,8 @@
                                                              const sessions::session_values& values,
                                                              clock::time_point deadline);
 
-    /// Returns a connection to the pool. Precondition: no open transaction and no pending answer.
+    /// Returns a connection to the pool, which closes it if no other statement may use it.
+    /// Precondition: no open transaction and no pending answer.
     void release(std::unique_ptr<pooled_connection> connection);
 
     /// Closes a connection whose state is unknown.
--- a/src/entry/internal/server_queries.cpp
+++ b/src/entry/internal/server_queries.cpp
@@ -32,6 +32,8 @@
             result.status = answer.status;
             result.rejected = answer.code == sessions::answer_code::malformed;
         }
+    } catch (const unexpected_answer& unexpected) {
+        failure = unexpected.what();
     } catch (const server_timeout& timeout) {
         failure = timeout.what();
     } catch (const server_unreachable& unreachable) {
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -52,6 +52,7 @@
         command.name = sessions::server_connection_state::name_of(*run.decision.shape);
         command.text = run.statement.argument;
     }
+    command.ends_transaction = run.statement.kind == statement_kind::commit;
     return command;
 }
 
@@ -273,11 +274,10 @@
     } else {
         // Closing the connection rolls back the transaction that is open on it.
         pool->discard(std::move(connection));
-        // An answer in another state is not the statement's answer, which may have run outside the
-        // transaction.
-        const bool mismatch = succeeded;
+        // Without an answer of its own to the begin, a write may have run outside the transaction.
+        const bool mismatch = succeeded || result.unexpected_answer;
         const bool may_be_committed = commits_now || (mismatch && m_run.decision.writes);
-        const auto status = mismatch ? exchange_status::connection_lost : result.status;
+        const auto status = succeeded ? exchange_status::connection_lost : result.status;
         outcome.answer.code = code_after_failure(status, outcome.answer.code, may_be_committed);
     }
     return with_server(std::move(outcome), *pool, std::nullopt);
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -29,7 +29,7 @@
                                  const entry_settings& settings, decision_log& log,
                                  metric_registry& metrics)
     : m_executor(std::move(executor)),
-      m_connector(connector),
+      m_connector(connector, log, metrics),
       m_own(settings.instance),
       m_own_zone(settings.zone),
       m_leasing(settings.fenced_promotions ? fleet::primary_leasing::not_needed
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -6,6 +6,7 @@
 #include "base/latency_histogram.h"
 #include "base/metric_registry.h"
 #include "contracts/rate_limiter.h"
+#include "entry/internal/checked_connector.h"
 #include "entry/internal/forwarding_executor.h"
 #include "entry/internal/gateway_link.h"
 #include "entry/internal/local_executor.h"
@@ -109,7 +110,7 @@
     void apply_rates();
 
     boost::asio::any_io_executor m_executor;
-    server_connector& m_connector;
+    checked_connector m_connector;
     instance_id m_own;
     zone_name m_own_zone;
     fleet::primary_leasing m_leasing;
--- a/src/entry/server_channel.h
+++ b/src/entry/server_channel.h
@@ -36,6 +36,12 @@
     using server_unreachable::server_unreachable;
 };
 
+/// The connection ended, or carried an answer that is not due, before anything was sent on it.
+class connection_unusable : public server_unreachable {
+public:
+    using server_unreachable::server_unreachable;
+};
+
 /// The account that a connection is opened for, and the server that is expected at the address.
 struct connection_request {
     endpoint address;
@@ -66,9 +72,13 @@
     [[nodiscard]] virtual boost::asio::awaitable<sessions::server_answer>
     receive(clock::duration limit) = 0;
 
-    /// Returns whether the server has closed the connection or sent unsolicited data.
+    /// Returns whether no further statement may use the connection, for example because the server
+    /// has closed it or sent unsolicited data. Precondition: all commands have been answered.
     [[nodiscard]] virtual bool broken() = 0;
 
+    /// Returns whether received data are waiting to be read.
+    [[nodiscard]] virtual bool has_input() = 0;
+
     virtual void close() noexcept = 0;
 };
 
--- a/src/entry/tests/background_task_test.cpp
+++ b/src/entry/tests/background_task_test.cpp
@@ -1,5 +1,7 @@
 #include <utility>
 
+#include "recording_log.h"
+
 #include "entry/internal/background_task.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,20 +16,6 @@
 namespace oriole::entry {
 namespace {
 
-class recording_log final : public decision_log {
-public:
-    void write(const log_entry& entry) override { m_lines.push_back(entry.text()); }
-
-    void flush() override {}
-
-    [[nodiscard]] std::uint64_t dropped() const override { return 0; }
-
-    [[nodiscard]] const std::vector<std::string>& lines() const { return m_lines; }
-
-private:
-    std::vector<std::string> m_lines;
-};
-
 class background_task_test : public testing::Test {
 protected:
     boost::asio::io_context m_io;
--- /dev/null
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -0,0 +1,191 @@
+#include "fake_servers.h"
+#include "recording_log.h"
+
+#include "entry/internal/checked_connector.h"
+#include "entry/internal/server_queries.h"
+#include "entry/internal/statement_runner.h"
+
+#include <gtest/gtest.h>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+using sessions::answer_code;
+using sessions::command_kind;
+using sessions::transaction_state;
+
+/// Statements at a primary and a replica that repeat answers.
+class checked_connector_test : public testing::Test {
+protected:
+    checked_connector_test() {
+        m_route.service = service_name("db");
+        m_route.policy = fleet::read_policy::bounded_age;
+        m_route.max_age = 1500ms;
+        m_route.latency_target = 400ms;
+        m_route.statement_timeout = 300ms;
+        m_primary.primary = true;
+        std::vector<fleet::usable_server> usable(2);
+        usable[0].listed = fake_listed("primary", "far");
+        usable[0].primary = true;
+        usable[0].connections = {2, 2};
+        usable[1].listed = fake_listed("replica", "near");
+        usable[1].connections = {2, 2};
+        m_service.apply(usable);
+    }
+
+    statement_run make(const std::string& text) {
+        statement_run run;
+        run.route = &m_route;
+        run.account = account_name("t");
+        run.statement.id = "5c0e";
+        run.statement.text = text;
+        run.decision.step = sessions::session_step::run;
+        run.decision.writes = text.starts_with("WRITE");
+        run.statement.kind = text == "COMMIT"      ? sessions::statement_kind::commit
+                             : run.decision.writes ? sessions::statement_kind::write
+                                                   : sessions::statement_kind::read;
+        run.values = m_values;
+        run.arrived = steady_clock().now();
+        return run;
+    }
+
+    sessions::server_answer run(const std::string& text) {
+        return run_coroutine(m_io, m_runner.run_autocommit(m_service, make(text))).answer;
+    }
+
+    sessions::server_answer run_first(const std::string& text) {
+        return run_coroutine(m_io, m_runner.run_first(m_service, make(text), false, m_transaction))
+            .answer;
+    }
+
+    sessions::server_answer run_next(const std::string& text) {
+        return run_coroutine(m_io, m_runner.run_next(m_service, make(text), *m_transaction)).answer;
+    }
+
+    void prove_position() { m_service.add_peer_proof({boot_clock().now(), {1, 10}}); }
+
+    std::int64_t unexpected_answers() {
+        return m_metrics.get("oriole_unexpected_answers_total").value();
+    }
+
+    boost::asio::io_context m_io;
+    fake_servers m_servers;
+    server_script& m_primary = m_servers.at("primary");
+    server_script& m_replica = m_servers.at("replica");
+    recording_log m_log;
+    metric_registry m_metrics;
+    checked_connector m_connector{m_servers, m_log, m_metrics};
+    fleet::route m_route;
+    service_traffic m_service{m_io.get_executor(), m_connector, zone_name("near")};
+    statement_runner m_runner;
+    sessions::session_values m_values;
+    std::unique_ptr<open_transaction> m_transaction;
+};
+
+// Guards against a read that gets the rows of an earlier read on its connection.
+TEST_F(checked_connector_test, read_that_gets_an_earlier_answer_runs_at_another_server) {
+    prove_position();
+    ASSERT_EQ(run("READ a").code, answer_code::ok);
+    m_replica.repeats_answer_to = command_kind::caller_statement;
+    ASSERT_EQ(run("READ b").code, answer_code::ok);
+    m_replica.repeats_answer_to.reset();
+    EXPECT_EQ(run("READ c").rows, std::vector<std::string>{"READ c"});
+    EXPECT_EQ(m_replica.connections, 0);
+    EXPECT_EQ(unexpected_answers(), 1);
+}
+
+// Guards against a write that is acknowledged, or said not to have run, by an earlier answer.
+TEST_F(checked_connector_test, write_that_gets_an_earlier_answer_is_in_doubt) {
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    ASSERT_EQ(run("WRITE a b").code, answer_code::ok);
+    EXPECT_EQ(run("WRITE c d").code, answer_code::in_doubt);
+    EXPECT_EQ(m_primary.statements, 1);
+    EXPECT_EQ(m_primary.received.size(), 2U);
+}
+
+// Guards against a statement that is sent on a connection with an answer that nothing asked for,
+// and against reporting that it may have run.
+TEST_F(checked_connector_test, statement_is_not_sent_behind_an_answer_that_is_not_due) {
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    m_primary.repeats_when_idle = true;
+    ASSERT_EQ(run("WRITE a b").code, answer_code::ok);
+    EXPECT_EQ(run("WRITE c d").code, answer_code::ok);
+    EXPECT_EQ(m_primary.statements, 2);
+    EXPECT_EQ(m_primary.opened, 2);
+}
+
+// Guards against the same between the statements of a transaction, which stays on its connection:
+// nothing of it is kept, as its commit was not sent.
+TEST_F(checked_connector_test, transaction_ends_behind_an_answer_that_is_not_due) {
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    m_primary.repeats_when_idle = true;
+    ASSERT_EQ(run_first("WRITE a b").code, answer_code::ok);
+    EXPECT_EQ(run_next("COMMIT").code, answer_code::aborted);
+    EXPECT_EQ(m_primary.received.size(), 2U);
+    EXPECT_EQ(m_primary.connections, 0);
+}
+
+// Guards against a commit that is acknowledged, or said not to have run, by an earlier answer.
+TEST_F(checked_connector_test, commit_that_gets_an_earlier_answer_is_in_doubt) {
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    ASSERT_EQ(run_first("WRITE a b").code, answer_code::ok);
+    EXPECT_EQ(run_next("COMMIT").code, answer_code::in_doubt);
+}
+
+// Guards against a promise to the first write of a transaction whose begin was acknowledged by an
+// earlier answer: the write may have run outside the transaction.
+TEST_F(checked_connector_test, first_write_that_gets_the_answer_to_the_begin_is_in_doubt) {
+    m_primary.repeats_answer_to = command_kind::begin;
+    EXPECT_EQ(run_first("WRITE a b").code, answer_code::in_doubt);
+    EXPECT_EQ(m_primary.connections, 0);
+}
+
+// Guards against a connection that returns to the pool after the answers to a read that was given
+// up were another statement's.
+TEST_F(checked_connector_test, connection_is_closed_when_a_late_answer_does_not_match) {
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    ASSERT_EQ(run("READ a").code, answer_code::ok);
+    EXPECT_EQ(m_primary.connections, 0);
+    EXPECT_EQ(unexpected_answers(), 1);
+}
+
+// Guards against a healthy server that counts as failing, and is replaced, because it repeats an
+// answer.
+TEST_F(checked_connector_test, server_that_repeats_an_answer_does_not_count_as_failing) {
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    ASSERT_EQ(run("WRITE a b").code, answer_code::ok);
+    ASSERT_EQ(run("WRITE c d").code, answer_code::in_doubt);
+    EXPECT_FALSE(m_service.primary()->evidence(steady_clock().now()).failing_since);
+}
+
+// Guards against a server that counts as lacking a command because it repeated an answer.
+TEST_F(checked_connector_test, unexpected_status_answer_does_not_reject_the_command) {
+    m_primary.claimed_status_rows = {"1", "2"};
+    server_queries queries(m_io.get_executor(), m_connector, m_log);
+    sessions::server_command command;
+    command.kind = command_kind::pause_receiving;
+    const auto result = run_coroutine(
+        m_io, queries.query(fake_listed("primary", "far"), account_name("t"), command, 100ms));
+    EXPECT_FALSE(result.status);
+    EXPECT_FALSE(result.rejected);
+}
+
+// Guards against an operator who cannot tell a repeated answer from a lost connection, and against
+// log lines without a limit.
+TEST_F(checked_connector_test, connection_with_an_unexpected_answer_is_logged_once) {
+    prove_position();
+    ASSERT_EQ(run("READ a").code, answer_code::ok);
+    m_replica.repeats_answer_to = command_kind::caller_statement;
+    ASSERT_EQ(run("READ b").code, answer_code::ok);
+    auto next = make("READ c");
+    next.statement.id = std::string(1000, 'x');
+    static_cast<void>(run_coroutine(m_io, m_runner.run_autocommit(m_service, next)));
+    ASSERT_EQ(m_log.lines().size(), 1U);
+    std::string line("event=unexpected_answer server=replica account=t request=");
+    line.append(64, 'x').append(" reason=signature_repeated outcome=connection_closed");
+    EXPECT_EQ(m_log.lines().front(), line);
+}
+
+} // namespace
+} // namespace oriole::entry
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -28,12 +28,19 @@
     std::optional<sessions::command_kind> no_answer_to; ///< this kind of command is never answered
     /// The answer to this kind of command is lost, but later answers arrive.
     std::optional<sessions::command_kind> loses_answer_to;
+    int busy_statements = 0; ///< the next callers' statements are refused as busy
+    /// The answer to this kind of command arrives a second time, when nothing is due or in place of
+    /// the next answer.
+    std::optional<sessions::command_kind> repeats_answer_to;
+    bool repeats_when_idle = false;
     clock::duration answer_delay{}; ///< time before each answer
     /// The transaction state in the answers to callers' statements, instead of the actual one.
     std::optional<sessions::transaction_state> claimed_state;
+    std::vector<std::string> claimed_status_rows; ///< rows of answers to pause_receiving
     std::vector<sessions::server_command> received;
     int connections = 0;
     int opened = 0;
+    int statements = 0; ///< callers' statements that ran
 };
 
 /// Fake servers by name. They answer at once unless their script says otherwise.
@@ -74,6 +81,9 @@
         }
 
         boost::asio::awaitable<sessions::server_answer> receive(clock::duration limit) override {
+            if (const auto repeat = std::exchange(m_repeat, std::nullopt)) {
+                co_return *repeat;
+            }
             if (m_script->loses_answer_to == m_due.front().kind && m_due.size() > 1) {
                 static_cast<void>(answer_to(m_due.front()));
                 m_due.pop_front();
@@ -92,11 +102,17 @@
                 boost::asio::steady_timer timer(m_executor, m_script->answer_delay);
                 co_await timer.async_wait(boost::asio::use_awaitable);
             }
-            co_return answer_to(command);
+            auto answer = answer_to(command);
+            if (m_script->repeats_answer_to == command.kind) {
+                m_repeat = answer;
+            }
+            co_return answer;
         }
 
         bool broken() override { return !m_open; }
 
+        bool has_input() override { return m_repeat && m_script->repeats_when_idle; }
+
         void close() noexcept override {
             if (m_open) {
                 --m_script->connections;
@@ -122,9 +138,20 @@
             } else if (command.kind == command_kind::rollback || command.text == "COMMIT") {
                 m_state = transaction_state::none;
             }
+            if (command.kind == command_kind::pause_receiving) {
+                answer.rows = m_script->claimed_status_rows;
+            }
             const bool runs_statement = command.kind == command_kind::caller_statement ||
                                         command.kind == command_kind::execute;
-            answer.signature = runs_statement ? "signed" : "";
+            if (runs_statement && m_script->busy_statements > 0) {
+                --m_script->busy_statements;
+                answer.code = answer_code::busy;
+            }
+            if (runs_statement && answer.code == answer_code::ok) {
+                ++m_script->statements;
+                answer.signature = std::string("signed-").append(command.text);
+                answer.rows = {command.text};
+            }
             answer.state = runs_statement ? m_script->claimed_state.value_or(m_state) : m_state;
             return answer;
         }
@@ -135,6 +162,7 @@
         std::deque<sessions::server_command> m_due;
         sessions::transaction_state m_state = sessions::transaction_state::none;
         bool m_open = false;
+        std::optional<sessions::server_answer> m_repeat;
     };
 
     std::map<std::string, server_script> m_scripts;
--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -59,8 +59,10 @@
     Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, without
     `receiving` a replica receives no entries, without `can_pause` PAUSE closes the connection, and
     the next `lost_answers` requests that have an id are executed but not answered. The next
-    `repeated_answers` answers are sent a second time, `repeat_delay_s` after the first. `ran` records
-    the executed statements as (request id, account, words, transaction state, session values)."""
+    `repeated_answers` answers that begin with `repeated_word` are sent a second time,
+    `repeat_delay_s` after the first, with `repeat_state` and `repeat_position` unless these are
+    empty. The next `busy_answers` requests that have an id are refused as busy. `ran` records the
+    executed statements as (request id, account, words, transaction state, session values)."""
 
     def __init__(self, database, server_id, zone):
         self.database = database
@@ -77,6 +79,10 @@
         self.lost_answers = 0
         self.repeated_answers = 0
         self.repeat_delay_s = 0.0
+        self.repeated_word = ""
+        self.repeat_state = ""
+        self.repeat_position = ""
+        self.busy_answers = 0
         self.writes = 0  # entries written to the store
         self.state = "ready"
         self.ran = []
@@ -187,7 +193,11 @@
                 await asyncio.sleep(self.server.work_s)
             _, request_id, text = line.split(" ", 2)
             entries = len(self.server.log)
-            answer = self.execute(request_id, text)
+            if request_id != "-" and self.server.busy_answers > 0:
+                self.server.busy_answers -= 1
+                answer = self.fail_statement("BUSY")
+            else:
+                answer = self.execute(request_id, text)
             if len(self.server.log) > entries:
                 await self.wait_until_durable()
             if request_id != "-" and self.server.lost_answers > 0:
@@ -214,12 +224,15 @@
 
     async def answer(self, text):
         """Sends an answer, and the state and position after it."""
-        term, number = self.server.position()
-        text += f"READY {self.state} {term}.{number}\r\n"
-        if self.server.repeated_answers > 0:
-            self.server.repeated_answers -= 1
-            asyncio.get_running_loop().call_later(self.server.repeat_delay_s, self.repeat, text)
-        await self.send(text)
+        server = self.server
+        term, number = server.position()
+        position = f"{term}.{number}"
+        whole = text + f"READY {self.state} {position}\r\n"
+        if server.repeated_answers > 0 and whole.startswith(server.repeated_word):
+            server.repeated_answers -= 1
+            text += f"READY {server.repeat_state or self.state} {server.repeat_position or position}\r\n"
+            asyncio.get_running_loop().call_later(server.repeat_delay_s, self.repeat, text)
+        await self.send(whole)
 
     def repeat(self, text):
         if self in self.server.sessions:
--- a/tests/process/repeated_answers_test.py
+++ b/tests/process/repeated_answers_test.py
@@ -1,6 +1,7 @@
 """Tests of oriolethread-platform with backend servers that send an answer a second time, at once or
 late: no statement takes the answer to an earlier one for its own."""
 
+import threading
 import time
 import unittest
 
@@ -14,12 +15,20 @@
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 
 
-class RepeatedAnswersTest(PlatformTest):
-    instance_zones = ("zone-a",)
+CALLERS = 8
+STATEMENTS = 12
+# Another state or position than the answer had, in which its repetition arrives; empty for the same.
+REPEATED_STATES = ("", "I", "T", "E")
+REPEATED_POSITIONS = ("", "-", "9.999")
+
+
+class RepeatingServersTest(PlatformTest):
+    """Fixture of the tests in this file."""
 
     def setUp(self):
         super().setUp()
         self.primary = self.server("i-0")
+        self.repeating = list(self.platform.database.servers.values())
         for number in range(ITEMS):
             self.primary.append(f"item{number}", f"value{number}")
 
@@ -45,6 +54,10 @@
         self.assertEqual(answer.rows, rows)
         self.assertIn(session.last_id, answer.signature)
 
+
+class RepeatedAnswersTest(RepeatingServersTest):
+    instance_zones = ("zone-a",)
+
     def assert_own_reads(self, database):
         for delay_s in REPEAT_DELAYS_S:
             session = self.session(database)
@@ -65,6 +78,7 @@
     # while the client pauses.
     def test_statements_of_a_transaction_get_their_own_answers(self):
         for delay_s in REPEAT_DELAYS_S:
+            self.repeat(0, delay_s)
             session = self.session("newest")
             session.run("BEGIN")
             self.run_until_done(session, "READ item0")
@@ -114,5 +128,108 @@
         self.assertEqual([data for _, _, data in self.primary.log].count("once"), 1)
 
 
+class RepeatedAnswersToManyCallersTest(RepeatingServersTest):
+    """Callers of two instances write, read and commit at once, while servers repeat answers."""
+
+    rate = 100000
+    burst = 100000
+
+    def write(self, session, mark):
+        """Writes the mark, by itself, prepared, or in a transaction. Returns the error, if any, and
+        whether a commit or write was sent."""
+        kind = int(mark.rpartition("-")[2]) % 3
+        if kind == 0:
+            return session.run(f"WRITE mark {mark}").error, True
+        if kind == 1:
+            session.run(f"SET caller {mark}")
+            session.run("PREPARE put WRITE mark")
+            return session.run(f"EXECUTE put {mark}").error, True
+        session.run("BEGIN")
+        error = session.run(f"WRITE mark {mark}").error
+        if error is not None:
+            session.run("ROLLBACK")
+            return error, False
+        return session.run("COMMIT").error, True
+
+    def run_caller(self, caller):
+        """Alternates writes and reads; records what was answered."""
+        session = self.session("newest", index=caller % 2)
+        for number in range(STATEMENTS):
+            mark = f"mark-{self.round}-{caller}-{number}"
+            self.answers[mark] = self.write(session, mark)
+            answer = session.run(f"READ item{number % ITEMS}")
+            if answer.error is None:
+                self.reads.append((answer, session.last_id, f"value{number % ITEMS}"))
+
+    def run_callers(self, before_each=lambda: None):
+        """Lets the callers run, then compares what they were answered with the primary's log."""
+        self.round = getattr(self, "round", 0) + 1
+        self.answers, self.reads = {}, []
+        failures = []
+
+        def run(caller):
+            try:
+                self.run_caller(caller)
+            except (OSError, ValueError) as error:
+                failures.append(repr(error))
+
+        threads = [threading.Thread(target=run, args=(caller,)) for caller in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        while any(thread.is_alive() for thread in threads):
+            before_each()
+            time.sleep(WORK_S / 4)
+        for thread in threads:
+            thread.join()
+        time.sleep(0.2)
+        self.assertEqual(failures, [])
+        self.assert_answers_are_true()
+
+    def assert_answers_are_true(self):
+        committed = [data for _, _, data in self.primary.log]
+        for mark, (error, _) in self.answers.items():
+            self.assertLessEqual(committed.count(mark), 1, mark)
+            if error is None:
+                self.assertEqual(committed.count(mark), 1, mark)
+            if error in PROMISES:
+                self.assertEqual(committed.count(mark), 0, (mark, error))
+        for answer, request, value in self.reads:
+            self.assertEqual(answer.rows, [value])
+            self.assertIn(request, answer.signature)
+        self.assertGreater(len([error for error, _ in self.answers.values() if error is None]), 0)
+
+    def repeat_each(self, word, delay_s, share):
+        """Lets the servers repeat about `share` answers at a time that begin with the word."""
+        for server in self.repeating:
+            server.work_s = WORK_S / 4
+            server.repeated_word = word
+            server.repeat_delay_s = delay_s
+            server.repeated_answers = share
+
+    # Guards against the greeting of a connection that is taken for the answer to its first command.
+    def test_statements_beside_repeated_greetings_get_their_own_answers(self):
+        for delay_s in (0.0, 0.006):
+            def close_connections():
+                self.repeat_each("READY", delay_s, 4)
+                self.primary.busy_answers = 1
+            self.run_callers(close_connections)
+
+    # Guards against an instance that ends, and against answers taken for others, when repetitions
+    # have a state or position in which their answer cannot have been.
+    def test_statements_beside_repetitions_in_other_states_get_their_own_answers(self):
+        for number, state in enumerate(REPEATED_STATES):
+            for server in self.repeating:
+                server.repeat_state = state
+                server.repeat_position = REPEATED_POSITIONS[number % len(REPEATED_POSITIONS)]
+            self.run_callers(lambda: self.repeat_each("", 0.01, 1))
+        self.repeat_each("", 0.0, 0)
+        self.run_until_done(self.session("newest"), "READ item0")
+
+    # Guards against a repetition that reaches a later caller, long after its answer.
+    def test_statements_beside_late_repetitions_get_their_own_answers(self):
+        for delay_s in (0.1, 0.5):
+            self.run_callers(lambda: self.repeat_each("", delay_s, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
