Close the connection after an error, so that its repetition cannot be another's answer

Callers had writes committed twice: a server repeats ERROR BUSY some milliseconds after the first, while the next caller's write is under way on the same connection. The write's answer was taken to be BUSY, which says that nothing has run, and the write was tried again. Nothing in an error tells it from an earlier one.

A connection now ends with its first error: it is neither returned to the pool nor handed to a waiter. So on any connection the first error is never the repetition of another, and no second one is believed. What is left is an error of a command that prepares the connection (SET, PREPARE, RESET), which a repetition has moved to the write behind it: a write outside a transaction does not depend on that command, so its error counts only if no such success since the last signed answer can be a repetition; otherwise the write is in doubt.

--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -53,6 +53,7 @@
         command.text = run.statement.argument;
     }
     command.ends_transaction = run.statement.kind == statement_kind::commit;
+    command.changes_data = run.decision.writes || command.ends_transaction;
     return command;
 }
 
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -83,6 +83,16 @@
     std::unique_ptr<open_transaction> m_transaction;
 };
 
+// Guards against a write that runs twice: the repeated BUSY of its first attempt was taken for the
+// answer to the second one, which was committed, and the write was tried a third time.
+TEST_F(checked_connector_test, write_after_a_repeated_error_runs_once) {
+    m_primary.busy_statements = 1;
+    m_primary.repeats_answer_to = command_kind::caller_statement;
+    EXPECT_EQ(run("WRITE a b").code, answer_code::ok);
+    EXPECT_EQ(m_primary.statements, 1);
+    EXPECT_EQ(m_primary.opened, 2);
+}
+
 // Guards against a read that gets the rows of an earlier read on its connection.
 TEST_F(checked_connector_test, read_that_gets_an_earlier_answer_runs_at_another_server) {
     prove_position();
@@ -159,6 +169,26 @@
     EXPECT_FALSE(m_service.primary()->evidence(steady_clock().now()).failing_since);
 }
 
+// Guards against a connection with an error that is handed to a waiting statement.
+TEST_F(checked_connector_test, connection_with_an_error_is_not_handed_to_a_waiter) {
+    m_primary.busy_statements = 1;
+    const auto pool = std::make_shared<server_pool>(m_io.get_executor(), m_connector,
+                                                    fake_listed("primary", "far"));
+    pool->set_limit(1);
+    auto held = run_coroutine(m_io, pool->acquire(account_name("t"), {}, steady_clock().now()));
+    exchange_plan plan;
+    plan.statement.text = "READ a";
+    ASSERT_EQ(run_coroutine(m_io, exchange(*pool, *held.connection, plan, 100ms)).answer.code,
+              answer_code::busy);
+    boost::asio::steady_timer timer(m_io, 5ms);
+    timer.async_wait(
+        [&](const boost::system::error_code&) { pool->release(std::move(held.connection)); });
+    const auto waiter =
+        run_coroutine(m_io, pool->acquire(account_name("t"), {}, steady_clock().now() + 1s));
+    EXPECT_TRUE(waiter.connection);
+    EXPECT_EQ(m_primary.opened, 2);
+}
+
 // Guards against a server that counts as lacking a command because it repeated an answer.
 TEST_F(checked_connector_test, unexpected_status_answer_does_not_reject_the_command) {
     m_primary.claimed_status_rows = {"1", "2"};
--- a/src/sessions/answer_matcher.h
+++ b/src/sessions/answer_matcher.h
@@ -19,6 +19,8 @@
 /// - Each success of a caller's statement has a signature that no other statement's success has.
 /// - All other successes have none, so one that takes the place of another is noticed at the next
 ///   signed answer at the latest.
+/// - An error has neither. Since the connection is used up after its first error, an error is never
+///   the repetition of an earlier one.
 ///
 /// Not thread-safe; owned by the connection.
 class answer_matcher {
@@ -37,7 +39,7 @@
     [[nodiscard]] std::string due_id() const { return m_due.empty() ? std::string() : m_due[0].id; }
 
     /// Whether the connection must not be used for another statement or transaction: it has
-    /// received an answer that did not match, or as many signatures as are remembered.
+    /// received an error, an answer that did not match, or as many signatures as are remembered.
     [[nodiscard]] bool used_up() const noexcept;
 
 private:
@@ -45,14 +47,16 @@
     struct due_command {
         command_kind kind = command_kind::caller_statement;
         std::string id;
+        bool changes_data = false;
         bool ends_transaction = false;
     };
 
-    [[nodiscard]] std::optional<answer_mismatch> check_error(const server_answer& answer) const;
+    [[nodiscard]] std::optional<answer_mismatch> check_error(const due_command& command,
+                                                             const server_answer& answer) const;
     [[nodiscard]] std::optional<answer_mismatch> check_signed(const due_command& command,
                                                               const server_answer& answer);
     [[nodiscard]] std::optional<answer_mismatch> check_unsigned(const due_command& command,
-                                                                const server_answer& answer) const;
+                                                                const server_answer& answer);
     /// The state to which the success of the command leads; nullopt if it cannot succeed.
     [[nodiscard]] std::optional<transaction_state>
     state_after(const due_command& command) const noexcept;
@@ -60,6 +64,10 @@
     std::deque<due_command> m_due;
     std::vector<std::uint64_t> m_signatures; ///< hashes of all signatures that were received
     transaction_state m_state = transaction_state::none; ///< after the last answer
+    bool m_has_unsigned = false;                         ///< an unsigned success was received
+    /// A success since the last signed one may be the repetition of an earlier one.
+    bool m_may_be_shifted = false;
+    bool m_has_error = false;
     bool m_has_mismatch = false;
 };
 
--- a/src/sessions/internal/answer_matcher.cpp
+++ b/src/sessions/internal/answer_matcher.cpp
@@ -17,6 +17,12 @@
     return kind == command_kind::caller_statement || kind == command_kind::execute;
 }
 
+/// Whether the command sets up the connection for the statement that follows.
+bool prepares(command_kind kind) {
+    return kind == command_kind::reset || kind == command_kind::set_value ||
+           kind == command_kind::prepare;
+}
+
 /// Whether the success of the command has a row with the server's status.
 bool returns_status(command_kind kind) {
     return kind == command_kind::status || kind == command_kind::step_down ||
@@ -39,12 +45,15 @@
         return "rows_unexpected";
     case answer_mismatch::state_impossible:
         return "state_impossible";
+    case answer_mismatch::error_uncertain:
+        return "error_uncertain";
     }
     return "unknown";
 }
 
 void answer_matcher::sent(const server_command& command) {
-    m_due.push_back({command.kind, command.id.substr(0, max_id_length), command.ends_transaction});
+    m_due.push_back({command.kind, command.id.substr(0, max_id_length), command.changes_data,
+                     command.ends_transaction});
 }
 
 std::optional<answer_mismatch> answer_matcher::received(const server_answer& answer) {
@@ -52,7 +61,8 @@
     if (m_due.empty()) {
         mismatch = answer_mismatch::no_command_due;
     } else if (answer.code != answer_code::ok) {
-        mismatch = check_error(answer);
+        mismatch = check_error(m_due.front(), answer);
+        m_has_error = true;
     } else if (is_callers_statement(m_due.front().kind)) {
         mismatch = check_signed(m_due.front(), answer);
     } else {
@@ -68,10 +78,11 @@
 }
 
 bool answer_matcher::used_up() const noexcept {
-    return m_has_mismatch || m_signatures.size() >= max_signatures;
+    return m_has_error || m_has_mismatch || m_signatures.size() >= max_signatures;
 }
 
-std::optional<answer_mismatch> answer_matcher::check_error(const server_answer& answer) const {
+std::optional<answer_mismatch> answer_matcher::check_error(const due_command& command,
+                                                           const server_answer& answer) const {
     const bool may_open = m_state == transaction_state::open;
     if (answer.state == transaction_state::open && !may_open) {
         return answer_mismatch::state_impossible;
@@ -80,6 +91,11 @@
     if (answer.state == transaction_state::none && may_open) {
         return answer_mismatch::state_impossible;
     }
+    // Outside a transaction a write runs although a command before it was refused. In one, the
+    // refusal fails the transaction.
+    if (command.changes_data && m_state == transaction_state::none && m_may_be_shifted) {
+        return answer_mismatch::error_uncertain;
+    }
     return std::nullopt;
 }
 
@@ -96,11 +112,12 @@
         return answer_mismatch::state_impossible;
     }
     m_signatures.push_back(hash);
+    m_may_be_shifted = false;
     return std::nullopt;
 }
 
 std::optional<answer_mismatch> answer_matcher::check_unsigned(const due_command& command,
-                                                              const server_answer& answer) const {
+                                                              const server_answer& answer) {
     if (!answer.signature.empty()) {
         return answer_mismatch::signature_unexpected;
     }
@@ -110,6 +127,8 @@
     if (answer.state != state_after(command)) {
         return answer_mismatch::state_impossible;
     }
+    m_may_be_shifted = m_may_be_shifted || (m_has_unsigned && prepares(command.kind));
+    m_has_unsigned = true;
     return std::nullopt;
 }
 
--- a/src/sessions/tests/answer_matcher_test.cpp
+++ b/src/sessions/tests/answer_matcher_test.cpp
@@ -1,7 +1,11 @@
 #include "sessions/answer_matcher.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <deque>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -14,9 +18,10 @@
     return command;
 }
 
-server_command make_statement(bool ends_transaction = false) {
+server_command make_statement(bool changes_data = false, bool ends_transaction = false) {
     server_command command;
     command.id = "5c0e";
+    command.changes_data = changes_data;
     command.ends_transaction = ends_transaction;
     return command;
 }
@@ -58,8 +63,8 @@
     EXPECT_EQ(exchange(make_command(command_kind::set_value), make_answer("")), std::nullopt);
     EXPECT_EQ(exchange(make_statement(), make_answer("s1")), std::nullopt);
     EXPECT_EQ(exchange(make_command(command_kind::begin), make_answer("", open)), std::nullopt);
-    EXPECT_EQ(exchange(make_statement(), make_answer("s2", open)), std::nullopt);
-    EXPECT_EQ(exchange(make_statement(true), make_answer("s3")), std::nullopt);
+    EXPECT_EQ(exchange(make_statement(true), make_answer("s2", open)), std::nullopt);
+    EXPECT_EQ(exchange(make_statement(true, true), make_answer("s3")), std::nullopt);
     EXPECT_EQ(exchange(make_command(command_kind::begin_read), make_answer("", open)),
               std::nullopt);
     EXPECT_EQ(exchange(make_command(command_kind::rollback), make_answer("")), std::nullopt);
@@ -78,7 +83,7 @@
 // Guards against a repeated answer to a command of the instance that acknowledges a write, and one
 // to a statement that acknowledges a session value.
 TEST_F(answer_matcher_test, success_with_and_without_a_signature_are_told_apart) {
-    EXPECT_EQ(exchange(make_statement(), make_answer("")), answer_mismatch::signature_missing);
+    EXPECT_EQ(exchange(make_statement(true), make_answer("")), answer_mismatch::signature_missing);
     answer_matcher other;
     other.sent(make_command(command_kind::set_value));
     EXPECT_EQ(other.received(make_answer("s1")), answer_mismatch::signature_unexpected);
@@ -98,9 +103,9 @@
     const auto impossible = answer_mismatch::state_impossible;
     const auto open = transaction_state::open;
     for (const auto& [command, answer] : std::vector<std::pair<server_command, server_answer>>{
-             {make_statement(), make_answer("s1", open)},
+             {make_statement(true), make_answer("s1", open)},
              {make_statement(), make_answer("s1", transaction_state::failed)},
-             {make_statement(true), make_answer("s1")},
+             {make_statement(true, true), make_answer("s1")},
              {make_command(command_kind::begin), make_answer("")},
              {make_command(command_kind::set_value), make_answer("", open)},
              {make_command(command_kind::rollback), make_answer("", open)},
@@ -110,7 +115,38 @@
         EXPECT_EQ(matcher.received(answer), impossible);
     }
     ASSERT_EQ(exchange(make_command(command_kind::begin), make_answer("", open)), std::nullopt);
-    EXPECT_EQ(exchange(make_statement(), make_error(answer_code::read_only)), impossible);
+    EXPECT_EQ(exchange(make_statement(true), make_error(answer_code::read_only)), impossible);
+}
+
+// Guards against the repetition of an error that is taken for the answer to a later write, which is
+// then run a second time.
+TEST_F(answer_matcher_test, connection_is_used_up_after_an_error) {
+    EXPECT_EQ(exchange(make_statement(true), make_error(answer_code::busy)), std::nullopt);
+    EXPECT_TRUE(m_matcher.used_up());
+}
+
+// Guards against a promise to a write that comes from the refusal of a command before it, while the
+// repetition of an earlier answer stands in its place.
+TEST_F(answer_matcher_test, error_of_a_write_behind_indistinguishable_answers_is_uncertain) {
+    m_matcher.sent(make_command(command_kind::set_value));
+    m_matcher.sent(make_command(command_kind::prepare));
+    m_matcher.sent(make_statement(true));
+    EXPECT_EQ(m_matcher.received(make_answer("")), std::nullopt);
+    EXPECT_EQ(m_matcher.received(make_answer("")), std::nullopt);
+    EXPECT_EQ(m_matcher.received(make_error(answer_code::busy)), answer_mismatch::error_uncertain);
+}
+
+// Guards against giving up errors that can only be the write's own: behind the first answer without
+// a signature, and behind a signed one.
+TEST_F(answer_matcher_test, error_of_a_write_on_a_connection_in_step_is_certain) {
+    EXPECT_EQ(exchange(make_command(command_kind::set_value), make_answer("")), std::nullopt);
+    auto first = m_matcher;
+    EXPECT_EQ(exchange(make_command(command_kind::set_value), make_answer("")), std::nullopt);
+    EXPECT_EQ(exchange(make_statement(), make_answer("s1")), std::nullopt);
+    for (auto& matcher : {&first, &m_matcher}) {
+        matcher->sent(make_statement(true));
+        EXPECT_EQ(matcher->received(make_error(answer_code::busy)), std::nullopt);
+    }
 }
 
 // Guards against a connection whose memory grows with each statement, or that forgets signatures.
@@ -124,5 +160,215 @@
     EXPECT_EQ(exchange(make_statement(), make_answer("s0")), answer_mismatch::signature_repeated);
 }
 
+/// A message of a server, with the command that it answers.
+struct message {
+    server_answer answer;
+    int command = 0;  ///< number of the command
+    int exchange = 0; ///< number of the exchange to which the command belongs
+};
+
+/// A server that answers each command once, or a second time at any later time and in any state.
+/// It refuses any kind of command now and then.
+class stuttering_server {
+public:
+    explicit stuttering_server(std::uint32_t seed) : m_random(seed) {}
+
+    [[nodiscard]] int below(int bound) {
+        return static_cast<int>(m_random() % static_cast<std::uint32_t>(bound));
+    }
+
+    void run(const server_command& command, int number, int exchange) {
+        const bool commits = m_state == transaction_state::none || command.ends_transaction;
+        message sent{execute(command), number, exchange};
+        if (sent.answer.code == answer_code::ok && command.changes_data && commits) {
+            m_committed.push_back(number);
+        }
+        m_originals.push_back(std::move(sent));
+    }
+
+    /// Whether a repeated answer has arrived while no command is unanswered.
+    [[nodiscard]] bool has_input() { return !m_repeats.empty() && below(2) == 0; }
+
+    /// The next message to arrive. Precondition: a command is unanswered.
+    [[nodiscard]] message receive() {
+        if (!m_repeats.empty() && below(2) == 0) {
+            const auto chosen = m_repeats.begin() + below(static_cast<int>(m_repeats.size()));
+            auto next = *chosen;
+            m_repeats.erase(chosen);
+            return next;
+        }
+        auto next = m_originals.front();
+        m_originals.pop_front();
+        if (below(3) == 0) {
+            auto repeat = next;
+            if (below(3) == 0) {
+                repeat.answer.state = static_cast<transaction_state>(below(3));
+            }
+            m_repeats.push_back(std::move(repeat));
+        }
+        return next;
+    }
+
+    /// Whether the command committed changes, of a transaction or by itself.
+    [[nodiscard]] bool has_committed(int command) const {
+        return std::find(m_committed.begin(), m_committed.end(), command) != m_committed.end();
+    }
+
+private:
+    [[nodiscard]] server_answer execute(const server_command& command) {
+        if (command.kind == command_kind::rollback) {
+            m_state = transaction_state::none;
+            return make_answer("");
+        }
+        if (m_state == transaction_state::failed) {
+            return make_error(answer_code::malformed, m_state);
+        }
+        if (below(6) == 0) {
+            if (m_state == transaction_state::open) {
+                m_state = transaction_state::failed;
+            }
+            return make_error(below(2) == 0 ? answer_code::busy : answer_code::failed, m_state);
+        }
+        if (command.kind == command_kind::begin) {
+            m_state = transaction_state::open;
+        }
+        if (command.ends_transaction) {
+            m_state = transaction_state::none;
+        }
+        const bool is_signed = command.kind == command_kind::caller_statement;
+        return make_answer(is_signed ? numbered_signature(++m_signatures) : "", m_state);
+    }
+
+    std::mt19937 m_random;
+    std::deque<message> m_originals;
+    std::vector<message> m_repeats;
+    std::vector<int> m_committed;
+    transaction_state m_state = transaction_state::none;
+    int m_signatures = 0;
+};
+
+/// Uses one connection to the server as the instance does, until it is used up.
+class connection_user {
+public:
+    explicit connection_user(std::uint32_t seed) : m_server(seed) {}
+
+    void run() {
+        for (int i = 0; i < 20 && !m_matcher.used_up() && !m_ended; ++i) {
+            ++m_exchange;
+            switch (m_server.below(4)) {
+            case 0:
+                run_statement(make_statement(true));
+                break;
+            case 1:
+                run_statement(make_statement());
+                break;
+            case 2:
+                run_all({make_command(command_kind::begin), make_statement(),
+                         make_command(command_kind::rollback)});
+                break;
+            default:
+                run_transaction();
+            }
+        }
+    }
+
+private:
+    [[nodiscard]] std::vector<server_command> preparation() {
+        std::vector<server_command> commands;
+        for (int i = m_server.below(3); i > 0; --i) {
+            commands.push_back(make_command(m_server.below(2) == 0 ? command_kind::set_value
+                                                                   : command_kind::prepare));
+        }
+        return commands;
+    }
+
+    bool run_statement(const server_command& statement) {
+        auto commands = preparation();
+        commands.push_back(statement);
+        return run_all(commands);
+    }
+
+    void run_transaction() {
+        if (!run_all({make_command(command_kind::begin)})) {
+            m_ended = true;
+            return;
+        }
+        for (int i = m_server.below(3); i >= 0; --i) {
+            if (!run_statement(make_statement(m_server.below(2) == 0))) {
+                m_ended = true;
+                return;
+            }
+        }
+        if (m_server.below(2) == 0) {
+            run_all({make_command(command_kind::rollback)});
+        } else {
+            run_statement(make_statement(true, true));
+        }
+    }
+
+    /// Returns whether all commands succeeded.
+    bool run_all(const std::vector<server_command>& commands) {
+        if (m_server.has_input()) {
+            m_ended = true;
+            return false;
+        }
+        const int first = m_command + 1;
+        for (const auto& command : commands) {
+            m_matcher.sent(command);
+            m_server.run(command, ++m_command, m_exchange);
+        }
+        for (std::size_t i = 0; i < commands.size(); ++i) {
+            if (!receive(commands[i], first + static_cast<int>(i))) {
+                // The instance discards a connection with answers that it does not read.
+                m_ended = m_ended || m_matcher.answer_due();
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool receive(const server_command& command, int number) {
+        const auto next = m_server.receive();
+        if (m_matcher.received(next.answer)) {
+            m_ended = true;
+            return false;
+        }
+        const bool succeeded = next.answer.code == answer_code::ok;
+        if (command.kind == command_kind::caller_statement) {
+            check_delivery(command, number, next, succeeded);
+        }
+        return succeeded;
+    }
+
+    void check_delivery(const server_command& command, int number, const message& next,
+                        bool succeeded) {
+        if (succeeded) {
+            RC_ASSERT(next.command == number);
+        } else {
+            RC_ASSERT(next.exchange == m_exchange);
+        }
+        if (!succeeded && command.changes_data) {
+            RC_ASSERT(!m_server.has_committed(number));
+        }
+        if (!succeeded && command.changes_data && next.answer.state == transaction_state::none) {
+            RC_ASSERT(next.command == number);
+        }
+        RC_CLASSIFY(succeeded, "success delivered");
+        RC_CLASSIFY(!succeeded, "error delivered");
+    }
+
+    answer_matcher m_matcher;
+    stuttering_server m_server;
+    int m_command = 0;
+    int m_exchange = 0;
+    bool m_ended = false;
+};
+
+// Guards against an answer that is delivered as that of another statement, and against a write that
+// is said not to have run although it did, for any answers that are repeated at any later time.
+RC_GTEST_FIXTURE_PROP(answer_matcher_test, repeated_answers_are_not_delivered_to_others, ()) {
+    connection_user(*rc::gen::arbitrary<std::uint32_t>()).run();
+}
+
 } // namespace
 } // namespace oriole::sessions
--- a/src/sessions/types/answer_mismatch.h
+++ b/src/sessions/types/answer_mismatch.h
@@ -11,7 +11,8 @@
     signature_unexpected, ///< the success of the instance's own command is not signed
     signature_repeated,   ///< an earlier answer on the connection had the signature
     rows_unexpected,      ///< the command returns no rows
-    state_impossible      ///< the command does not lead to the answer's transaction state
+    state_impossible,     ///< the command does not lead to the answer's transaction state
+    error_uncertain       ///< the error may be that of a command before the statement
 };
 
 [[nodiscard]] std::string_view to_string(answer_mismatch mismatch) noexcept;
--- a/src/sessions/types/server_command.h
+++ b/src/sessions/types/server_command.h
@@ -37,6 +37,7 @@
     std::optional<machines::log_position> after; ///< log position that the server must have reached
     /// For step_down and pause_receiving: term in which another server will be primary.
     std::uint64_t term = 0;
+    bool changes_data = false;     ///< a caller's write or commit
     bool ends_transaction = false; ///< a caller's commit
 
     friend bool operator==(const server_command&, const server_command&) = default;
--- a/tests/process/repeated_answers_test.py
+++ b/tests/process/repeated_answers_test.py
@@ -127,6 +127,27 @@
         time.sleep(0.2)
         self.assertEqual([data for _, _, data in self.primary.log].count("once"), 1)
 
+    # Guards against a write that is committed twice: the repetition of the BUSY that an earlier caller
+    # got on the connection was taken for its answer, and it was run again.
+    def test_write_behind_a_repeated_refusal_runs_once(self):
+        first, second = self.session("newest"), self.session("newest")
+        self.run_until_done(first, "READ item0")
+        self.primary.work_s = WORK_S
+        self.primary.repeated_word = "ERROR"
+        for number in range(ITEMS):
+            self.repeat_next(0.3 * WORK_S)
+            self.primary.busy_answers = 1
+            first.send(f"QUERY {number + 1:x}f WRITE mark first{number}")
+            while self.primary.busy_answers > 0:
+                time.sleep(0.0002)
+            answer = second.run(f"WRITE mark second{number}")
+            first.answer()
+            time.sleep(0.1)
+            committed = [data for _, _, data in self.primary.log].count(f"second{number}")
+            self.assertLessEqual(committed, 1)
+            if answer.error is None or answer.error in PROMISES:
+                self.assertEqual(committed, int(answer.error is None), answer)
+
 
 class RepeatedAnswersToManyCallersTest(RepeatingServersTest):
     """Callers of two instances write, read and commit at once, while servers repeat answers."""
@@ -206,6 +227,16 @@
             server.repeat_delay_s = delay_s
             server.repeated_answers = share
 
+    # Guards against a write that is committed twice: the late repetition of an earlier BUSY was taken
+    # for its answer, and it was run again.
+    def test_writes_beside_repeated_refusals_run_once(self):
+        for delay_s in (0.0, 0.006, 0.045):
+            def refuse():
+                self.repeat_each("ERROR", delay_s, 2)
+                self.primary.work_s = WORK_S
+                self.primary.busy_answers = 1
+            self.run_callers(refuse)
+
     # Guards against the greeting of a connection that is taken for the answer to its first command.
     def test_statements_beside_repeated_greetings_get_their_own_answers(self):
         for delay_s in (0.0, 0.006):
