Let the stand-in's store and promotion API send replies twice

An outside system may send an answer a second time, at once or late. The HTTP stand-ins of the users' platform could only lose replies. Each has now repeated_replies (a number), repeat_share (a share of the others) and repeat_delay_s: store.* for the store, platform.promotion_replies.* for the promotion API.

--- a/standins/users_platform/http.py
+++ b/standins/users_platform/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from urllib.parse import parse_qsl, urlsplit
 
 
@@ -15,6 +16,35 @@
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone", 503: "Busy"}
 
 
+class ReplyRepeats:
+    """Which replies of an interface are sent a second time, on the same connection: the next
+    `repeated_replies`, and of the others the share `repeat_share`. The second time follows at once,
+    or `repeat_delay_s` after the first."""
+
+    def __init__(self):
+        self.repeated_replies = 0
+        self.repeat_share = 0.0
+        self.repeat_delay_s = 0.0
+        self.repeats_sent = 0
+
+    def take(self):
+        """Whether the reply that is sent now is repeated."""
+        if self.repeated_replies > 0:
+            self.repeated_replies -= 1
+            return True
+        return random.random() < self.repeat_share
+
+    def schedule(self, writer, reply):
+        """Sends the reply again after the delay, unless the connection has been closed."""
+
+        def send():
+            if not writer.transport.is_closing():
+                self.repeats_sent += 1
+                writer.write(reply)
+
+        asyncio.get_running_loop().call_later(self.repeat_delay_s, send)
+
+
 async def read_request(reader):
     """Reads one request. Returns (method, path, query, headers, body), or None when the connection
     has ended."""
@@ -47,10 +77,12 @@
     return text
 
 
-async def serve_http(reader, writer, handle):
+async def serve_http(reader, writer, handle, repeats=None):
     """Serves the requests of one connection. `handle(method, path, query, headers, body)` returns
     (status, body) or (status, body, headers). When it returns None, the request is not answered and
-    the connection is closed, as if the answer were lost."""
+    the connection is closed, as if the answer were lost. `repeats` is the ReplyRepeats of the
+    interface."""
+    repeats = repeats or ReplyRepeats()
     try:
         while request := await read_request(reader):
             answer = await handle(*request)
@@ -61,10 +93,17 @@
             headers = "".join(f"{name}: {value}\r\n" for name, value in added.items())
             text = encode_json(body)
             reason = REASONS.get(status, "Status")
-            writer.write(
+            reply = (
                 f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n{headers}"
                 f"Content-Length: {len(text)}\r\n\r\n".encode() + text
             )
+            repeated = repeats.take()
+            if repeated and repeats.repeat_delay_s == 0:
+                repeats.repeats_sent += 1
+                reply += reply
+            writer.write(reply)
+            if repeated and repeats.repeat_delay_s > 0:
+                repeats.schedule(writer, reply)
             await writer.drain()
     except ConnectionError:
         pass
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -5,7 +5,7 @@
 import threading
 
 from .backend import Backend, Database
-from .http import serve_http
+from .http import ReplyRepeats, serve_http
 from .links import LinkGroups, pass_on_to
 from .store import Store
 
@@ -24,6 +24,7 @@
         self.sync_replicas = sync_replicas
         self.promotion_delay_s = PROMOTION_DELAY_S
         self.refuses_promotions = False
+        self.promotion_replies = ReplyRepeats()
         self.zones = zones
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -63,9 +64,10 @@
                                  sync_replicas=self.sync_replicas)
         self.links = LinkGroups()
         self.store_port = await self.listen(
-            "store", lambda reader, writer: serve_http(reader, writer, self.store.handle))
+            "store", lambda reader, writer: serve_http(reader, writer, self.store.handle, self.store))
         self.promotion_port = await self.listen(
-            "promotions", lambda reader, writer: serve_http(reader, writer, self.promote))
+            "promotions", lambda reader, writer: serve_http(reader, writer, self.promote,
+                                                            self.promotion_replies))
         for number, zone in enumerate(self.zones):
             server = Backend(self.database, f"i-{number}", zone)
             await self.start_server(server)
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -4,11 +4,14 @@
 import asyncio
 import copy
 
+from .http import ReplyRepeats
+
 PREFIX = "/oriolethread/objects/"
 
 
-class Store:
+class Store(ReplyRepeats):
     def __init__(self):
+        super().__init__()
         self.revision = 1
         self.era = 1
         self.objects = {}
