--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -33,6 +33,7 @@
         self.keys = {"acme": ["acme-key"], "kita": ["kita-key"]}
         self.version = 1
         self.fences = []
+        self.orders = []  # the accepted promotions as (fencing token, holder, server)
         self.call(self.start)
 
     def call(self, function, *arguments):
@@ -132,6 +133,7 @@
         if path != "/promote" or outdated or self.refuses_promotions:
             return 409, {}
         self.fences.append(fence)
+        self.orders.append((fence, headers["lease-holder"], body["id"]))
         server = self.database.servers[body["id"]]
         if not server.is_leader:
             self.loop.call_later(self.promotion_delay_s, self.finish_promotion, server)
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -21,6 +21,7 @@
         self.down = False
         self.silent_kinds = set()  # kinds whose waiting watches are not cut off by a restore
         self.lost_answers = 0
+        self.reply_delay_s = 0.0  # the time that each call takes
         self.calls = 0
 
     async def put(self, kind, name, spec):
@@ -60,6 +61,7 @@
 
     async def handle(self, *request):
         answer = await self.answer(*request)
+        await asyncio.sleep(self.reply_delay_s)
         return answer and (*answer, {"Store-Era": self.era})
 
     async def answer(self, method, path, query, _headers, body):
