Make each call to the platform on its own connection in the HTTP front end

What callers saw: with a platform that answers twice, an instance read an object as the value of the one that it had read before.

Cause: as in the client of the users' platform: a connection was kept for later calls, and the bytes left in its buffer, or arriving during the next call, were taken for the answer to that call. This client did not look for unexpected bytes at all.

Evidence: on the code before, both cases of repeated_answer_test fail (a read of b gets a, a read of c gets b).

Why this works: a connection carries one call. A failed call is no longer sent again on a second connection by this class; its callers handle a platform that cannot be reached, and put reads the object back.

--- a/src/links/internal/http_platform_link.cpp
+++ b/src/links/internal/http_platform_link.cpp
@@ -8,12 +8,10 @@
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <charconv>
-#include <list>
-#include <mutex>
 #include <string_view>
 
 namespace oriole::links {
@@ -41,18 +39,6 @@
 /// not block the caller for the sum of all timeouts.
 constexpr std::chrono::seconds put_retry_window{5};
 
-/// An instance has few concurrent calls to the platform: one watch and an occasional update.
-constexpr std::size_t max_idle_connections = 4;
-
-struct connection {
-    explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
-
-    boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
-};
-
-using connection_ptr = std::unique_ptr<connection>;
-
 /// An answer, or the reason why there is none.
 struct exchange_result {
     std::optional<http_response> answer;
@@ -167,6 +153,7 @@
     [[nodiscard]] http_request make_request(http::verb method, const std::string& target) const {
         http_request request(method, target, 11);
         request.set(http::field::host, m_platform.str());
+        request.set(http::field::connection, "close");
         return request;
     }
 
@@ -174,14 +161,8 @@
     awaitable<read_back> try_read(const std::string& path);
     awaitable<http_response> call(const http_request& request, milliseconds timeout);
     awaitable<exchange_result> exchange(const http_request& request, milliseconds timeout);
-    awaitable<exchange_result> exchange_on(connection& current, const http_request& request);
-    awaitable<connection_ptr> open(milliseconds timeout, std::string& failure);
-    connection_ptr take_idle(const asio::any_io_executor& executor);
-    void store_idle(connection_ptr current);
 
     endpoint m_platform;
-    std::mutex m_mutex; ///< guards m_idle
-    std::list<connection_ptr> m_idle;
 };
 
 awaitable<std::uint64_t> http_platform_link::put(std::string path, std::string value,
@@ -297,85 +278,30 @@
     co_return std::move(*result.answer);
 }
 
-/// Sends the request on an idle connection and, if the platform has closed that one, again on a new
-/// one. Every call may be repeated: updates are conditional, and `put` reads the object back after
-/// a conflict.
+/// Sends the request on a connection of its own. HTTP/1.1 does not name the request that an answer
+/// belongs to, so on a shared connection an answer that arrives twice would be taken for the answer
+/// to the next request.
 awaitable<exchange_result> http_platform_link::exchange(const http_request& request,
                                                         milliseconds timeout) {
-    connection_ptr current = take_idle(co_await asio::this_coro::executor);
-    if (current) {
-        current->stream.expires_after(timeout);
-        exchange_result result = co_await exchange_on(*current, request);
-        if (result.answer) {
-            store_idle(std::move(current));
-            co_return result;
+    try {
+        boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+        stream.expires_after(timeout);
+        const auto address = asio::ip::make_address(m_platform.address());
+        co_await stream.async_connect({address, m_platform.port()}, use_awaitable);
+        stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        co_await http::async_write(stream, request, use_awaitable);
+        boost::beast::flat_buffer buffer;
+        exchange_result result;
+        result.answer.emplace();
+        co_await http::async_read(stream, buffer, *result.answer, use_awaitable);
+        error_code ignored;
+        if (buffer.size() > 0 || stream.socket().available(ignored) > 0) {
+            LOG(WARNING) << "the platform sent more than the answer; connection closed; call=\""
+                         << request.method_string() << " " << request.target() << "\"";
         }
-    }
-    std::string failure;
-    current = co_await open(timeout, failure);
-    if (!current) {
-        co_return exchange_result{std::nullopt, failure};
-    }
-    exchange_result result = co_await exchange_on(*current, request);
-    if (result.answer) {
-        store_idle(std::move(current));
-    }
-    co_return result;
-}
-
-awaitable<exchange_result> http_platform_link::exchange_on(connection& current,
-                                                           const http_request& request) {
-    error_code failed;
-    co_await http::async_write(current.stream, request,
-                               asio::redirect_error(use_awaitable, failed));
-    if (failed) {
-        co_return exchange_result{std::nullopt, failed.message()};
-    }
-    exchange_result result;
-    result.answer.emplace();
-    co_await http::async_read(current.stream, current.buffer, *result.answer,
-                              asio::redirect_error(use_awaitable, failed));
-    if (failed) {
-        co_return exchange_result{std::nullopt, failed.message()};
-    }
-    co_return result;
-}
-
-awaitable<connection_ptr> http_platform_link::open(milliseconds timeout, std::string& failure) {
-    auto opened = std::make_unique<connection>(co_await asio::this_coro::executor);
-    error_code failed;
-    const auto address = asio::ip::make_address(m_platform.address(), failed);
-    if (!failed) {
-        opened->stream.expires_after(timeout);
-        const asio::ip::tcp::endpoint remote(address, m_platform.port());
-        co_await opened->stream.async_connect(remote, asio::redirect_error(use_awaitable, failed));
-    }
-    if (failed) {
-        failure = failed.message();
-        co_return nullptr;
-    }
-    opened->stream.socket().set_option(asio::ip::tcp::no_delay(true), failed);
-    co_return opened;
-}
-
-connection_ptr http_platform_link::take_idle(const asio::any_io_executor& executor) {
-    const std::lock_guard lock(m_mutex);
-    const auto found = std::find_if(m_idle.begin(), m_idle.end(), [&](const connection_ptr& idle) {
-        return &idle->stream.get_executor().context() == &executor.context();
-    });
-    if (found == m_idle.end()) {
-        return nullptr;
-    }
-    connection_ptr taken = std::move(*found);
-    m_idle.erase(found);
-    return taken;
-}
-
-void http_platform_link::store_idle(connection_ptr current) {
-    current->stream.expires_never();
-    const std::lock_guard lock(m_mutex);
-    if (m_idle.size() < max_idle_connections) {
-        m_idle.push_back(std::move(current));
+        co_return result;
+    } catch (const boost::system::system_error& failure) {
+        co_return exchange_result{std::nullopt, failure.code().message()};
     }
 }
 
--- a/src/links/platform_link.h
+++ b/src/links/platform_link.h
@@ -91,7 +91,7 @@
     [[nodiscard]] virtual boost::asio::awaitable<std::vector<machines::instance>> instances() = 0;
 };
 
-/// Keeps connections open between calls. Precondition: the execution contexts of the calling
+/// Opens a connection for each call. Precondition: the execution contexts of the calling
 /// coroutines outlive the link.
 [[nodiscard]] std::unique_ptr<platform_link> make_http_platform_link(endpoint platform);
 
--- a/src/links/tests/http_platform_link_test.cpp
+++ b/src/links/tests/http_platform_link_test.cpp
@@ -129,5 +129,60 @@
     EXPECT_EQ(run(m_link->get("a"))->value, "one");
 }
 
+/// A platform of the test that sends each answer a second time: at once, or when the next request
+/// has arrived on the same connection.
+class repeated_answer_test : public http_platform_link_test,
+                             public testing::WithParamInterface<bool> {
+protected:
+    repeated_answer_test() {
+        asio::co_spawn(m_io, accept_connections(), asio::detached);
+        const endpoint address("127.0.0.1", m_acceptor.local_endpoint().port());
+        m_link = make_http_platform_link(address);
+    }
+
+    awaitable<void> accept_connections() {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(use_awaitable);
+            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(asio::ip::tcp::socket socket) {
+        boost::beast::flat_buffer buffer;
+        std::string late_repeat;
+        try {
+            while (true) {
+                http::request<http::string_body> request;
+                co_await http::async_read(socket, buffer, request, use_awaitable);
+                const std::string target(request.target());
+                const std::string answer = "HTTP/1.1 200 OK\r\nOriole-Version: 1\r\n"
+                                           "Content-Length: " +
+                                           std::to_string(target.size()) + "\r\n\r\n" + target;
+                const bool at_once = GetParam();
+                const std::string sent = std::exchange(late_repeat, at_once ? "" : answer) +
+                                         answer + (at_once ? answer : "");
+                co_await asio::async_write(socket, asio::buffer(sent), use_awaitable);
+            }
+        } catch (const boost::system::system_error&) {
+            co_return;
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor{
+        m_io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+};
+
+// Guards against an object that is read as the value of another one, such as an older
+// configuration, because the platform answered twice.
+TEST_P(repeated_answer_test, each_read_gets_its_own_object) {
+    for (const std::string path : {"a", "b", "c"}) {
+        EXPECT_EQ(run(m_link->get(path))->value, "/v1/objects/" + path);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(repeats, repeated_answer_test, testing::Bool(), [](const auto& at_once) {
+    return at_once.param ? "at_once" : "during_the_next_call";
+});
+
 } // namespace
 } // namespace oriole::links
