--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -5,7 +5,7 @@
 import threading
 
 from .backend import Backend, Database
-from .http import serve_http
+from .http import ReplyRepeats, serve_http
 from .links import LinkGroups, pass_on_to
 from .store import Store
 
@@ -27,6 +27,7 @@
         self.promotion_delay_s = PROMOTION_DELAY_S
         self.statement_timeout_ms = 1000
         self.refuses_promotions = False
+        self.promotion_replies = ReplyRepeats()
         self.zones = zones
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -35,6 +36,7 @@
         self.keys = {"acme": ["acme-key"], "kita": ["kita-key"]}
         self.version = 1
         self.fences = []
+        self.orders = []  # the accepted promotions as (fencing token, holder, server)
         self.call(self.start)
 
     def call(self, function, *arguments):
@@ -66,9 +68,10 @@
                                  sync_replicas=self.sync_replicas)
         self.links = LinkGroups()
         self.store_port = await self.listen(
-            "store", lambda reader, writer: serve_http(reader, writer, self.store.handle))
+            "store", lambda reader, writer: serve_http(reader, writer, self.store.handle, self.store))
         self.promotion_port = await self.listen(
-            "promotions", lambda reader, writer: serve_http(reader, writer, self.promote))
+            "promotions", lambda reader, writer: serve_http(reader, writer, self.promote,
+                                                            self.promotion_replies))
         for number, zone in enumerate(self.zones):
             server = Backend(self.database, f"i-{number}", zone)
             await self.start_server(server)
@@ -134,6 +137,7 @@
         if path != "/promote" or outdated or self.refuses_promotions:
             return 409, {}
         self.fences.append(fence)
+        self.orders.append((fence, headers["lease-holder"], body["id"]))
         server = self.database.servers[body["id"]]
         if not server.is_leader:
             self.loop.call_later(self.promotion_delay_s, self.finish_promotion, server)
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -4,11 +4,14 @@
 import asyncio
 import copy
 
+from .http import ReplyRepeats
+
 PREFIX = "/oriolethread/objects/"
 
 
-class Store:
+class Store(ReplyRepeats):
     def __init__(self):
+        super().__init__()
         self.revision = 1
         self.era = 1
         self.objects = {}
@@ -18,6 +21,7 @@
         self.down = False
         self.silent_kinds = set()  # kinds whose waiting watches are not cut off by a restore
         self.lost_answers = 0
+        self.reply_delay_s = 0.0  # the time that each call takes
         self.calls = 0
 
     async def put(self, kind, name, spec):
@@ -57,6 +61,7 @@
 
     async def handle(self, *request):
         answer = await self.answer(*request)
+        await asyncio.sleep(self.reply_delay_s)
         return answer and (*answer, {"Store-Era": self.era})
 
     async def answer(self, method, path, query, _headers, body):
