Limit the length of a value in the log

A caller can send a database name of 1 MB, and each refusal wrote it to the log. One line of that size fills the log's buffer, so that the lines of other decisions are dropped until the next flush.

A value is cut at 1 KiB and ends with "..." there.

--- a/src/base/internal/log_entry.cpp
+++ b/src/base/internal/log_entry.cpp
@@ -5,6 +5,7 @@
 namespace oriole {
 namespace {
 
+constexpr std::string_view cut_mark = "...";
 constexpr std::string_view hexadecimal_digits = "0123456789abcdef";
 constexpr unsigned bits_per_digit = 4;
 constexpr unsigned digit_mask = 0x0f;
@@ -14,7 +15,8 @@
 }
 
 bool needs_quotes(std::string_view value) {
-    return value.empty() || value.find_first_of(" \"\\=") != value.npos ||
+    return value.empty() || value.size() > log_entry::max_value_bytes ||
+           value.find_first_of(" \"\\=") != value.npos ||
            !std::all_of(value.begin(), value.end(), is_printable);
 }
 
@@ -41,10 +43,10 @@
         return *this;
     }
     m_text.append(1, '"');
-    for (const char character : value) {
+    for (const char character : value.substr(0, max_value_bytes)) {
         append_escaped(m_text, character);
     }
-    m_text.append(1, '"');
+    m_text.append(value.size() > max_value_bytes ? cut_mark : std::string_view()).append(1, '"');
     return *this;
 }
 
--- a/src/base/tests/log_entry_test.cpp
+++ b/src/base/tests/log_entry_test.cpp
@@ -51,6 +51,16 @@
               "event=session_refused database=\"\\x1b[2J\\x7f\\x85\\xff\" reason=denied");
 }
 
+// Guards against a caller's database name that fills the log's buffer, so that lines of others are
+// dropped.
+TEST_F(log_entry_test, long_value_is_cut) {
+    const auto line = line_with(std::string(1'000'000, '\n'));
+    EXPECT_LT(line.size(), 10'000U);
+    EXPECT_TRUE(line.ends_with("\\x0a...\" reason=denied"));
+    const std::string longest(log_entry::max_value_bytes, 'x');
+    EXPECT_EQ(line_with(longest), "event=session_refused database=" + longest + " reason=denied");
+}
+
 // Guards against a value for which a line of the log cannot be split into its fields.
 RC_GTEST_FIXTURE_PROP(log_entry_test, any_value_is_one_field_of_printable_characters,
                       (const std::string& value)) {
--- a/src/base/types/log_entry.h
+++ b/src/base/types/log_entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -12,6 +13,9 @@
 /// not printable. Event names and keys are the program's own. Not thread-safe.
 class log_entry {
 public:
+    /// A longer value is cut there and ends with `...`.
+    static constexpr std::size_t max_value_bytes = 1024;
+
     explicit log_entry(std::string_view event) { m_text.append("event=").append(event); }
 
     log_entry& add(std::string_view key, std::string_view value);
