Check texts, rows and reads over every byte

damaged_message_test cut its lines at LF before it decoded them, so it agreed with a reader that did the same.

--- a/src/base/tests/message_mutation.h
+++ b/src/base/tests/message_mutation.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oriole::tests {
@@ -34,12 +35,27 @@
         return document;
     }
 
+    /// A text with any bytes, more often with those that end messages and fields, but without CR
+    /// LF.
+    [[nodiscard]] std::string message_text() {
+        constexpr std::string_view separators = "\r\n \r\n";
+        std::string text;
+        for (auto size = below(max_text_bytes); size > 0; --size) {
+            const char next = below(2) == 0 ? byte() : separators[below(separators.size())];
+            if (next != '\n' || text.empty() || text.back() != '\r') {
+                text.push_back(next);
+            }
+        }
+        return text;
+    }
+
     /// A number from 0 up to, but not including, `limit`. Precondition: `limit` is not 0.
     [[nodiscard]] std::size_t below(std::size_t limit) { return m_random() % limit; }
 
 private:
     static constexpr std::size_t max_edits = 4;
     static constexpr std::size_t max_run = 16;
+    static constexpr std::size_t max_text_bytes = 64;
     static constexpr std::size_t byte_values = 256;
 
     [[nodiscard]] char byte() { return static_cast<char>(below(byte_values)); }
