--- a/tests/process/planned_work_driver.py
+++ b/tests/process/planned_work_driver.py
@@ -9,13 +9,13 @@
 import argparse
 import asyncio
 import collections
+import os
 import random
 import shutil
 import signal
 import sys
 import tempfile
 import time
-import os
 
 from platform_fixtures import LOOPBACK, ROOT, STOP_GRACE_S, Instance
 from oriole_site.processes import wait_until
@@ -83,9 +83,10 @@
 
 
 class Cut:
-    def __init__(self, request, text, instance, sent_at, ended_at, pause):
+    def __init__(self, request, text, instance, sent_at, ended_at, pause, previous):
         self.request, self.text, self.instance = request, text, instance
         self.sent_at, self.ended_at, self.pause = sent_at, ended_at, pause
+        self.previous = previous  # error of the answer before it in its session
 
 
 class Driver:
@@ -127,12 +128,16 @@
         for caller in pending:
             caller.cancel()
         for instance in self.instances:
+            status = instance.process.poll()
+            if status is not None:
+                self.outcomes[f"PROCESS ended by itself, status {status}"] += 1
             instance.stop()
 
     async def vary_servers(self):
         while not self.ended:
             for server in self.platform.database.servers.values():
                 server.work_s = self.random.choice((0, 0, 0.005, 0.02, self.options.work_s))
+                server.lost_answers = self.options.lost_answers
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
 
     async def reconfigure(self):
@@ -159,6 +164,9 @@
         while time.monotonic() < ends:
             number = self.random.choice(mine)
             instance = self.instances[number]
+            status = instance.process.poll()
+            if status is not None:
+                self.outcomes[f"PROCESS ended by itself, status {status}"] += 1
             self.stops[number].append(time.monotonic())
             instance.terminate()
             if self.random.random() < 0.5:
@@ -207,9 +215,10 @@
         if early:
             # The request is sent before the session is confirmed.
             await asyncio.sleep(self.random.choice((0, 0.002)))
-            await self.request(instance, reader, writer, "READ a", 0, greeting=True)
+            await self.request(instance, reader, writer, "READ a", greeting=True)
             return
         greeting = await reader.readuntil(LINE_END)
+        reader.answered_at = time.monotonic()
         if greeting.startswith(b"ERROR"):
             self.outcomes["refused session"] += 1
             return
@@ -223,15 +232,14 @@
                 texts = ["BEGIN", *(self.random.choice(("READ a", "WRITE b y"))
                                     for _ in range(self.random.randrange(5))), "COMMIT"]
             for text in texts:
-                pause = self.random.uniform(*pauses)
-                await asyncio.sleep(pause)
-                state = await self.request(instance, reader, writer, text, pause)
+                await asyncio.sleep(self.random.uniform(*pauses))
+                state = await self.request(instance, reader, writer, text)
                 if state is None or state == "E" or reader.at_eof():
                     return
                 if state == "I" and text != "COMMIT" and transaction:
                     break
 
-    async def request(self, instance, reader, writer, text, pause, greeting=False):
+    async def request(self, instance, reader, writer, text, greeting=False):
         """Returns the state after the answer; None if the session is over."""
         if reader.at_eof():
             return None
@@ -244,6 +252,9 @@
             await asyncio.sleep(0.002)
         writer.write(data[cut_at:])
         sent_at = time.monotonic()
+        pause = sent_at - getattr(reader, "answered_at", sent_at)
+        previous = getattr(reader, "last_error", None)
+        reader.last_error = None
         slow = text == "READ large" and self.random.random() < 0.5
         try:
             while True:
@@ -254,20 +265,23 @@
                     greeting = False
                     continue
                 if line.startswith(b"ERROR"):
-                    self.outcomes[line.split()[1].decode()] += 1
+                    reader.last_error = line.split()[1].decode()
+                    self.outcomes[reader.last_error] += 1
                     if greeting:
                         return None
                 if line.startswith(b"COMPLETE"):
                     self.outcomes["OK"] += 1
                 if line.startswith(b"READY"):
                     # The end of the stream leaves the relay a moment after the answer.
+                    reader.answered_at = time.monotonic()
                     await asyncio.sleep(0.001)
                     return line.split()[1].decode()
         except (OSError, asyncio.IncompleteReadError):
             if greeting:
                 self.outcomes["no session"] += 1
                 return None
-            self.cuts.append(Cut(request, text, instance, sent_at, time.monotonic(), pause))
+            self.cuts.append(Cut(request, text, instance, sent_at, time.monotonic(), pause,
+                                 previous))
             return None
 
     def report(self):
@@ -289,7 +303,8 @@
                 where = "no stop" if after is None else f"sent {after:.3f} s after SIGTERM"
                 print(f"  {'excused' if excused else 'LOST' if is_lost else 'early'} {cut.request} {cut.text[:20]} at "
                       f"instance-{cut.instance} {where}, ended {took * 1000:.0f} ms later, "
-                      f"ran={passed_on}, pause before {cut.pause * 1000:.0f} ms")
+                      f"ran={passed_on}, pause before {cut.pause * 1000:.0f} ms, "
+                      f"answer before {cut.previous or 'without error'}")
         crossed = [cut for cut in self.cuts if cut.ended_at - cut.sent_at <= LOST_S
                    and cut.request not in ran]
         print(f"  {len(crossed)} crossed the end of their session (not run, ended within 200 ms); "
@@ -307,6 +322,8 @@
     parser.add_argument("--callers", type=int, default=48)
     parser.add_argument("--timeout-ms", type=int, default=1000, help="time limit of the routes")
     parser.add_argument("--work-s", type=float, default=0.3, help="longest work of the servers")
+    parser.add_argument("--lost-answers", type=int, default=0,
+                        help="answers that each server loses between two changes of its work")
     parser.add_argument("--direct", action="store_true", help="no delay between the processes")
     driver = Driver(parser.parse_args())
     asyncio.run(driver.run())
