Test that nothing is sent after its client was refused at the end of a stop

The test fails without the check after the admission in caller_service::run: a write that was answered with BUSY while it waited for its account's coordinator is sent once the coordinator has not answered for 150 ms.

--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -87,16 +87,15 @@
         config->routes["newest"].policy = fleet::read_policy::newest;
         config->routes["newest"].latency_target = 10s;
         config->routes["newest"].statement_timeout = 10s;
-        auto view = std::make_shared<fleet::fleet_view>();
-        view->config = config;
-        view->accounts_by_key = std::make_shared<fleet::key_index>();
+        m_view.config = config;
+        m_view.accounts_by_key = std::make_shared<fleet::key_index>();
         fleet::usable_server primary;
         primary.listed = fake_listed("primary", "zone");
         primary.primary = true;
         primary.connections = {2, 2};
-        view->servers[service_name("db")] = {primary};
+        m_view.servers[service_name("db")] = {primary};
         m_servers.at("primary").primary = true;
-        m_context.apply(view);
+        m_context.apply(std::make_shared<const fleet::fleet_view>(m_view));
     }
 
     static sessions::statement make(sessions::statement_kind kind) {
@@ -130,6 +129,24 @@
         m_io.run();
     }
 
+    /// Gives the client an account whose operations a coordinator at `address` admits.
+    void coordinate_rates_at(const endpoint& address) {
+        const account_name account("acme");
+        m_view.accounts_by_key =
+            std::make_shared<const fleet::key_index>(fleet::key_index{{"key", account}});
+        m_view.shares[account] = {1000.0, 1000.0};
+        fleet::registered_instance coordinator;
+        coordinator.id = instance_id("coordinator");
+        coordinator.gateway_address = address;
+        fleet::role_assignment roles;
+        roles.rates.resize(fleet::rate_groups);
+        for (auto& group : roles.rates) {
+            group.order = {coordinator};
+        }
+        m_view.roles = std::make_shared<const fleet::role_assignment>(roles);
+        m_context.apply(std::make_shared<const fleet::fleet_view>(m_view));
+    }
+
     [[nodiscard]] bool server_received(sessions::command_kind kind) {
         const auto& commands = m_servers.at("primary").received;
         return std::any_of(commands.begin(), commands.end(),
@@ -153,6 +170,7 @@
         co_return true;
     }
 
+    fleet::fleet_view m_view;
     boost::asio::io_context m_io;
     fake_servers m_servers;
     std::unique_ptr<decision_log> m_log = make_decision_log(::dup(STDERR_FILENO));
@@ -235,6 +253,21 @@
     EXPECT_TRUE(m_caller->closed);
 }
 
+// Guards against a write that is sent after its client was told that it was refused.
+TEST_F(caller_service_test, session_that_ends_now_sends_nothing_that_waits_for_its_rate) {
+    boost::asio::ip::tcp::acceptor silent(m_io, {boost::asio::ip::address_v4::loopback(), 0});
+    coordinate_rates_at({"127.0.0.1", silent.local_endpoint().port()});
+    send({sessions::statement_kind::write});
+    boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+    m_io.poll();
+    ASSERT_EQ(m_caller->taken, 1);
+    ASSERT_EQ(m_caller->answers, 0);
+    m_session->end_now();
+    m_io.run();
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_TRUE(m_servers.at("primary").received.empty());
+}
+
 // Guards against statements that have arrived behind a running one, and get no answer or are sent
 // to a server.
 TEST_F(caller_service_test, session_that_ends_now_refuses_the_statements_that_have_arrived) {
