--- a/tests/process/planned_work_driver.py
+++ b/tests/process/planned_work_driver.py
@@ -20,6 +20,7 @@
 from platform_fixtures import LOOPBACK, ROOT, STOP_GRACE_S, Instance
 from oriole_site.processes import wait_until
 from users_platform import Platform
+from users_platform.platform import ROUTES
 
 LOST_S = 0.2
 ZONES = ("zone-a", "zone-b")
@@ -141,9 +142,10 @@
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
 
     async def reconfigure(self):
+        own_route = ROUTES["own"]
         while not self.ended:
             await asyncio.sleep(self.random.uniform(1, 4))
-            kind = self.random.choice(("timeouts", "key", "hangup"))
+            kind = self.random.choice(("timeouts", "key", "route", "hangup"))
             if kind == "hangup":
                 for instance in self.instances:
                     if instance.process.poll() is None:
@@ -152,6 +154,11 @@
             if kind == "timeouts":
                 self.platform.statement_timeout_ms = self.random.choice(
                     (self.options.timeout_ms, self.options.timeout_ms * 2))
+            elif kind == "route":
+                if "own" in ROUTES:
+                    del ROUTES["own"]
+                else:
+                    ROUTES["own"] = own_route
             else:
                 self.platform.keys["kita"] = self.random.choice(([], ["kita-key"]))
             await asyncio.to_thread(self.platform.call, self.platform.publish)
