Let reads use a connection after its first error

After its first error a connection now serves reads outside transactions only, and the second error closes it. An error that a read gets there may be a repetition, so the read is tried elsewhere and its code is not used.

--- a/src/entry/internal/checked_connector.cpp
+++ b/src/entry/internal/checked_connector.cpp
@@ -73,6 +73,8 @@
         return m_channel->broken();
     }
 
+    bool only_for_reads() const override { return m_matcher.only_for_reads(); }
+
     bool has_input() override { return m_channel->has_input(); }
 
     void close() noexcept override { m_channel->close(); }
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -35,13 +35,19 @@
 /// connections of machines that lost power occupy the server for seconds.
 constexpr clock::duration connection_limit_backoff = 150ms;
 
+bool serves(const pooled_connection& connection, connection_use use) {
+    return use == connection_use::reads || !connection.channel->only_for_reads();
+}
+
 } // namespace
 
 struct server_pool::pool_waiter {
-    pool_waiter(const asio::any_io_executor& executor, account_name for_account)
-        : account(std::move(for_account)), timer(executor) {}
+    pool_waiter(const asio::any_io_executor& executor, account_name for_account,
+                connection_use for_use)
+        : account(std::move(for_account)), use(for_use), timer(executor) {}
 
     account_name account;
+    connection_use use;
     asio::steady_timer timer;
     std::unique_ptr<pooled_connection> connection;
     bool may_open = false;
@@ -64,14 +70,14 @@
 
 asio::awaitable<pool_grant> server_pool::acquire(account_name account,
                                                  const sessions::session_values& values,
-                                                 clock::time_point deadline) {
+                                                 clock::time_point deadline, connection_use use) {
     const auto self = shared_from_this();
     const auto now = steady_clock().now();
     if (m_failing_since && now >= m_retry_at) {
         // Only this statement probes the failed server; others wait for the next interval.
         m_retry_at = now + retry_interval;
     }
-    if (auto connection = take_idle(account, values)) {
+    if (auto connection = take_idle(account, values, use)) {
         pool_grant grant;
         grant.connection = std::move(connection);
         co_return grant;
@@ -85,7 +91,7 @@
         ++m_open_connections;
         co_return co_await open(std::move(account));
     }
-    co_return co_await wait(std::move(account), deadline);
+    co_return co_await wait(std::move(account), deadline, use);
 }
 
 void server_pool::release(std::unique_ptr<pooled_connection> connection) {
@@ -100,7 +106,7 @@
     }
     const auto same =
         std::find_if(m_waiters.begin(), m_waiters.end(), [&connection](const auto& waiter) {
-            return waiter->account == connection->account;
+            return waiter->account == connection->account && serves(*connection, waiter->use);
         });
     // Prefer the first waiter for the same account, even if others wait longer: reusing the
     // connection avoids opening one, which takes one of the server's execution slots.
@@ -242,12 +248,13 @@
 }
 
 std::unique_ptr<pooled_connection> server_pool::take_idle(const account_name& account,
-                                                          const sessions::session_values& values) {
+                                                          const sessions::session_values& values,
+                                                          connection_use use) {
     while (true) {
         auto best = m_idle.end();
         int best_distance = 0;
         for (auto at = m_idle.begin(); at != m_idle.end(); ++at) {
-            if ((*at)->account != account) {
+            if ((*at)->account != account || !serves(**at, use)) {
                 continue;
             }
             const int distance = (*at)->session_state.distance(values);
@@ -312,8 +319,9 @@
     co_return grant;
 }
 
-asio::awaitable<pool_grant> server_pool::wait(account_name account, clock::time_point deadline) {
-    const auto own = std::make_shared<pool_waiter>(m_executor, account);
+asio::awaitable<pool_grant> server_pool::wait(account_name account, clock::time_point deadline,
+                                              connection_use use) {
+    const auto own = std::make_shared<pool_waiter>(m_executor, account, use);
     m_waiters.push_back(own);
     own->timer.expires_at(deadline);
     boost::system::error_code ignored;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -30,6 +30,9 @@
     clock::time_point idle_since{};
 };
 
+/// What a connection is acquired for.
+enum class connection_use { reads, any };
+
 /// A connection from the pool, or the reason why there is none.
 struct pool_grant {
     std::unique_ptr<pooled_connection> connection;
@@ -61,7 +64,8 @@
     /// Waits until `deadline` at most.
     [[nodiscard]] boost::asio::awaitable<pool_grant> acquire(account_name account,
                                                              const sessions::session_values& values,
-                                                             clock::time_point deadline);
+                                                             clock::time_point deadline,
+                                                             connection_use use);
 
     /// Returns a connection to the pool, which closes it if no other statement may use it.
     /// Precondition: no open transaction and no pending answer.
@@ -111,11 +115,12 @@
     struct pool_waiter;
 
     [[nodiscard]] std::unique_ptr<pooled_connection>
-    take_idle(const account_name& account, const sessions::session_values& values);
+    take_idle(const account_name& account, const sessions::session_values& values,
+              connection_use use);
     [[nodiscard]] bool make_room();
     [[nodiscard]] boost::asio::awaitable<pool_grant> open(account_name account);
-    [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
-                                                          clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<pool_grant>
+    wait(account_name account, clock::time_point deadline, connection_use use);
     void close_connection(pooled_connection& connection);
     /// Closes the idle connections that have not been used since `time`.
     void close_idle_since(clock::time_point time);
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -134,8 +134,8 @@
     co_return true;
 }
 
-asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool) {
-    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline());
+asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool, connection_use use) {
+    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline(), use);
     co_return grant;
 }
 
@@ -166,11 +166,12 @@
 statement_router::try_read(pool_ptr pool, std::optional<machines::log_position> required,
                            std::unique_ptr<open_transaction>* transaction) {
     m_tried_servers.insert(pool->server().id);
-    auto grant = co_await acquire(pool);
+    const bool begins = transaction != nullptr;
+    auto grant = co_await acquire(pool, begins ? connection_use::any : connection_use::reads);
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, required);
     }
-    const bool begins = transaction != nullptr;
+    const bool error_may_be_repeated = grant.connection->channel->only_for_reads();
     const auto now = steady_clock().now();
     const bool may_use_another_server = required && !begins;
     auto limit = m_budget.deadline() - now;
@@ -178,6 +179,9 @@
         limit = std::min(limit, read_attempt_timeout);
     }
     auto result = co_await exchange(*pool, *grant.connection, plan_for(required, begins), limit);
+    if (error_may_be_repeated && result.answer.code != answer_code::ok) {
+        result.answer.code = answer_code::aborted;
+    }
     if (!required && answered_without_lease(*pool, result)) {
         pool->discard(std::move(grant.connection));
         co_return with_server(refusal(answer_code::aborted), *pool, required);
@@ -229,7 +233,7 @@
 
 asio::awaitable<run_outcome>
 statement_router::try_primary(pool_ptr pool, std::unique_ptr<open_transaction>* transaction) {
-    auto grant = co_await acquire(pool);
+    auto grant = co_await acquire(pool, connection_use::any);
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, std::nullopt);
     }
--- a/src/entry/server_channel.h
+++ b/src/entry/server_channel.h
@@ -76,6 +76,9 @@
     /// has closed it or sent unsolicited data. Precondition: all commands have been answered.
     [[nodiscard]] virtual bool broken() = 0;
 
+    /// Returns whether only reads may still use the connection.
+    [[nodiscard]] virtual bool only_for_reads() const = 0;
+
     /// Returns whether received data are waiting to be read.
     [[nodiscard]] virtual bool has_input() = 0;
 
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -111,6 +111,8 @@
 
         bool broken() override { return !m_open; }
 
+        bool only_for_reads() const override { return false; }
+
         bool has_input() override { return m_repeat && m_script->repeats_when_idle; }
 
         void close() noexcept override {
--- a/src/sessions/answer_matcher.h
+++ b/src/sessions/answer_matcher.h
@@ -19,8 +19,9 @@
 /// - Each success of a caller's statement has a signature that no other statement's success has.
 /// - All other successes have none, so one that takes the place of another is noticed at the next
 ///   signed answer at the latest.
-/// - An error has neither. Since the connection is used up after its first error, an error is never
-///   the repetition of an earlier one.
+/// - An error has neither. After its first error the connection serves only reads, and it is used
+/// up
+///   after the second, so the error of a write is never the repetition of an earlier one.
 ///
 /// Not thread-safe; owned by the connection.
 class answer_matcher {
@@ -39,9 +40,14 @@
     [[nodiscard]] std::string due_id() const { return m_due.empty() ? std::string() : m_due[0].id; }
 
     /// Whether the connection must not be used for another statement or transaction: it has
-    /// received an error, an answer that did not match, or as many signatures as are remembered.
+    /// received two errors, or one that may not be the last command's, an answer that did not
+    /// match, or as many signatures as are remembered.
     [[nodiscard]] bool used_up() const noexcept;
 
+    /// Whether only reads may still use the connection. An error that a read receives on it may be
+    /// the repetition of an earlier one, so the read has to be tried on another connection.
+    [[nodiscard]] bool only_for_reads() const noexcept { return m_errors > 0; }
+
 private:
     /// What the checks need to know of a command.
     struct due_command {
@@ -65,9 +71,12 @@
     std::vector<std::uint64_t> m_signatures; ///< hashes of all signatures that were received
     transaction_state m_state = transaction_state::none; ///< after the last answer
     bool m_has_unsigned = false;                         ///< an unsigned success was received
-    /// A success since the last signed one may be the repetition of an earlier one.
+    /// A success since the last signed one may be the repetition of an earlier one, so that an
+    /// answer may be outstanding although none is due.
     bool m_may_be_shifted = false;
-    bool m_has_error = false;
+    /// The same for a command that prepares the connection, whose error may come in its place.
+    bool m_preparation_may_be_shifted = false;
+    int m_errors = 0;
     bool m_has_mismatch = false;
 };
 
--- a/src/sessions/internal/answer_matcher.cpp
+++ b/src/sessions/internal/answer_matcher.cpp
@@ -10,6 +10,10 @@
 /// to 8 KB, and opening one in its place is spread over as many statements.
 constexpr std::size_t max_signatures = 1024;
 
+/// A second error may be the repetition of the first one, and leave its own command's answer
+/// behind.
+constexpr int max_errors = 1;
+
 /// Length to which statement ids, which come from callers, are cut for the log.
 constexpr std::size_t max_id_length = 64;
 
@@ -62,7 +66,7 @@
         mismatch = answer_mismatch::no_command_due;
     } else if (answer.code != answer_code::ok) {
         mismatch = check_error(m_due.front(), answer);
-        m_has_error = true;
+        m_errors += m_may_be_shifted ? max_errors + 1 : 1;
     } else if (is_callers_statement(m_due.front().kind)) {
         mismatch = check_signed(m_due.front(), answer);
     } else {
@@ -78,7 +82,7 @@
 }
 
 bool answer_matcher::used_up() const noexcept {
-    return m_has_error || m_has_mismatch || m_signatures.size() >= max_signatures;
+    return m_errors > max_errors || m_has_mismatch || m_signatures.size() >= max_signatures;
 }
 
 std::optional<answer_mismatch> answer_matcher::check_error(const due_command& command,
@@ -93,7 +97,8 @@
     }
     // Outside a transaction a write runs although a command before it was refused. In one, the
     // refusal fails the transaction.
-    if (command.changes_data && m_state == transaction_state::none && m_may_be_shifted) {
+    if (command.changes_data && m_state == transaction_state::none &&
+        m_preparation_may_be_shifted) {
         return answer_mismatch::error_uncertain;
     }
     return std::nullopt;
@@ -113,6 +118,7 @@
     }
     m_signatures.push_back(hash);
     m_may_be_shifted = false;
+    m_preparation_may_be_shifted = false;
     return std::nullopt;
 }
 
@@ -127,7 +133,9 @@
     if (answer.state != state_after(command)) {
         return answer_mismatch::state_impossible;
     }
-    m_may_be_shifted = m_may_be_shifted || (m_has_unsigned && prepares(command.kind));
+    m_may_be_shifted = m_may_be_shifted || m_has_unsigned;
+    m_preparation_may_be_shifted =
+        m_preparation_may_be_shifted || (m_has_unsigned && prepares(command.kind));
     m_has_unsigned = true;
     return std::nullopt;
 }
