--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -28,12 +28,7 @@
         exchange_result result;
         result.asked = boot_clock().now();
         try {
-            auto first = m_connection.session_state.commands_for(
-                plan.values, plan.shape ? &*plan.shape : nullptr);
-            if (plan.transaction_begin) {
-                first.push_back(*plan.transaction_begin);
-            }
-            m_connection.session_state.sent(first);
+            const auto first = preparation(plan);
             std::vector<server_command> rest{plan.statement};
             if (plan.rolls_back) {
                 rest.push_back(rollback_command());
@@ -70,30 +65,41 @@
             m_pool.mark_answered(m_connection, steady_clock().now());
         } catch (const server_timeout&) {
             m_pool.mark_timed_out(m_connection, steady_clock().now());
-            result.status =
-                m_statement_sent ? exchange_status::timed_out : exchange_status::not_run;
-            result.answer.code = answer_code::timed_out;
+            end_without_answer(result, exchange_status::timed_out, answer_code::timed_out);
         } catch (const connection_unusable&) {
-            result.status = exchange_status::not_run;
-            result.answer.code = answer_code::aborted;
+            m_statement_sent = false;
+            end_without_answer(result, exchange_status::connection_lost, answer_code::aborted);
         } catch (const unexpected_answer&) {
             // It does not show that the server is failing.
             result.unexpected_answer = true;
-            result.status =
-                m_statement_sent ? exchange_status::connection_lost : exchange_status::not_run;
-            result.answer = {};
-            result.answer.code = answer_code::aborted;
+            end_without_answer(result, exchange_status::connection_lost, answer_code::aborted);
         } catch (const server_unreachable&) {
             m_pool.mark_failed(steady_clock().now());
-            result.status =
-                m_statement_sent ? exchange_status::connection_lost : exchange_status::not_run;
-            result.answer.code = answer_code::aborted;
+            end_without_answer(result, exchange_status::connection_lost, answer_code::aborted);
         }
         result.answers_due = m_answers_due;
         co_return result;
     }
 
 private:
+    /// The commands that precede the statement. Records them as sent.
+    [[nodiscard]] std::vector<server_command> preparation(const exchange_plan& plan) {
+        auto commands = m_connection.session_state.commands_for(
+            plan.values, plan.shape ? &*plan.shape : nullptr);
+        if (plan.transaction_begin) {
+            commands.push_back(*plan.transaction_begin);
+        }
+        m_connection.session_state.sent(commands);
+        return commands;
+    }
+
+    void end_without_answer(exchange_result& result, exchange_status if_sent,
+                            answer_code code) const {
+        result.status = m_statement_sent ? if_sent : exchange_status::not_run;
+        result.answer = {};
+        result.answer.code = code;
+    }
+
     /// Receives the answers to the commands that precede the statement, and returns whether the
     /// server accepted all of them. If not, the connection has to be discarded with the answers
     /// that are still due.
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -13,7 +13,6 @@
 using namespace std::chrono_literals;
 using sessions::answer_code;
 using sessions::command_kind;
-using sessions::transaction_state;
 
 /// Statements at a primary and a replica that repeat answers.
 class checked_connector_test : public testing::Test {
