Check 100,000 connections with repeated answers in each run of the property

A wrong delivery takes several rare events on one connection: without one of the matcher's rules it showed once in up to 25,000 connections, and the property ran 100.

--- a/src/sessions/tests/answer_matcher_test.cpp
+++ b/src/sessions/tests/answer_matcher_test.cpp
@@ -12,6 +12,10 @@
 namespace oriole::sessions {
 namespace {
 
+/// A wrong delivery takes several rare events on one connection: without one of the rules, up to 1
+/// in 25,000 connections shows it.
+constexpr std::uint32_t connections_per_case = 1000;
+
 server_command make_command(command_kind kind) {
     server_command command;
     command.kind = kind;
@@ -367,8 +371,6 @@
         if (!succeeded && command.changes_data && next.answer.state == transaction_state::none) {
             RC_ASSERT(next.command == number);
         }
-        RC_CLASSIFY(succeeded, "success delivered");
-        RC_CLASSIFY(!succeeded, "error delivered");
     }
 
     answer_matcher m_matcher;
@@ -382,7 +384,10 @@
 // Guards against an answer that is delivered as that of another statement, and against a write that
 // is said not to have run although it did, for any answers that are repeated at any later time.
 RC_GTEST_FIXTURE_PROP(answer_matcher_test, repeated_answers_are_not_delivered_to_others, ()) {
-    connection_user(*rc::gen::arbitrary<std::uint32_t>()).run();
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    for (std::uint32_t connection = 0; connection < connections_per_case; ++connection) {
+        connection_user(seed + connection).run();
+    }
 }
 
 } // namespace
