Give each call between instances an id, and end it when another answer comes

An answer that cannot be read counted as a refusal of the statement, which is then sent to another gateway, so a write that had run would have run twice. An answer to an earlier call that was sealed anew was taken for the answer to the next one.

Cause: the JSON-RPC library gives every request the id 1 and does not compare it. Errors in the form of an answer were reported like errors that the peer answered.

Evidence: on the code before, 2 of the 3 odd_peer_test fail: the second call returns the first result, and half an answer throws peer_call_failed. The third, a frame that is repeated as it was, was already caught by the frame counter under the MAC, and guards it now.

Why this works: the id is unique on a link, and an answer with another id or type of id, or one that cannot be read, throws unexpected_answer, which counts as sent: a read is tried elsewhere, a write is in doubt. Its connection is closed. Instances of earlier versions echo the id, so a rolling upgrade needs no change. event=unexpected_reply and oriole_unexpected_replies_total{from="instances"} tell it from a lost connection.

Result: peer_link_test, entry_test, and the process tests users_platform, paused_gateway and restarted_gateway pass.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -75,7 +75,7 @@
                 [this](traffic_report report) {
                     asio::post(m_io, [this, moved = std::move(report)] { on_traffic(moved); });
                 }),
-      m_peers(m_io.get_executor(), m_fleet, settings.peers, log,
+      m_peers(m_io.get_executor(), m_fleet, settings.peers, log, metrics,
               [this] { return publish_and_wait(); }),
       m_leases(m_io.get_executor(), m_fleet, m_peers, log),
       m_orders(m_io.get_executor(), m_fleet, *m_store, log),
--- a/src/entry/internal/gateway_link.h
+++ b/src/entry/internal/gateway_link.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "entry/internal/gateway_calls.h"
+#include "entry/internal/unexpected_answers.h"
 #include "links/peer_link.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -27,7 +28,9 @@
 /// Calls other instances over TCP and tracks which of them are failing. Not thread-safe.
 class gateway_link final : public gateway_calls {
 public:
-    gateway_link(boost::asio::any_io_executor executor, decision_log& log);
+    /// Precondition: the log and the metrics outlive the link.
+    gateway_link(boost::asio::any_io_executor executor, decision_log& log,
+                 metric_registry& metrics);
 
     [[nodiscard]] bool usable(const instance_id& instance, clock::time_point now) const override;
 
@@ -55,6 +58,7 @@
 
     boost::asio::any_io_executor m_executor;
     decision_log& m_log;
+    unexpected_answers m_unexpected_answers;
     std::unique_ptr<links::peer_link> m_link;
     std::map<instance_id, health> m_health;
 };
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -4,6 +4,7 @@
 
 #include "base/decision_log.h"
 #include "entry/internal/fleet_state.h"
+#include "entry/internal/unexpected_answers.h"
 #include "links/peer_link.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -34,7 +35,8 @@
     /// `apply_orders` puts promotion orders that were learned from a report into force in the whole
     /// instance. A report that knows an order is answered only after that.
     peer_exchange(boost::asio::any_io_executor executor, fleet_state& fleet, const endpoint& listen,
-                  decision_log& log, std::function<boost::asio::awaitable<void>()> apply_orders);
+                  decision_log& log, metric_registry& metrics,
+                  std::function<boost::asio::awaitable<void>()> apply_orders);
 
     /// Polls the report peers in turn until the executor stops.
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -71,6 +73,7 @@
     boost::asio::any_io_executor m_executor;
     fleet_state& m_fleet;
     decision_log& m_log;
+    unexpected_answers m_unexpected_answers;
     std::unique_ptr<links::peer_link> m_link;
     std::unique_ptr<links::peer_server> m_server;
     std::function<boost::asio::awaitable<void>()> m_apply_orders;
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -38,7 +38,7 @@
       m_metrics(metrics),
       m_statement_latency(metrics, "oriole_statement_latency"),
       m_view(std::make_shared<const fleet::fleet_view>()),
-      m_link(m_executor, log),
+      m_link(m_executor, log, metrics),
       m_limiter(contracts::contracts_module::make_rate_limiter()) {}
 
 void traffic_context::apply(std::shared_ptr<const fleet::fleet_view> view) {
--- a/src/links/internal/rpc_client_codec.cpp
+++ b/src/links/internal/rpc_client_codec.cpp
@@ -39,20 +39,23 @@
     return value;
 }
 
-/// Checks every field that the library's client reads. The client's exception specifications admit
-/// only its own exception type; an exception of the JSON library inside it would terminate the
-/// process.
-void check_answer(const std::string& text) {
+/// Checks every field that the library's client reads, and the id, which it does not compare. The
+/// client's exception specifications admit only its own exception type; an exception of the JSON
+/// library inside it would terminate the process.
+void check_answer(std::uint64_t id, const std::string& text) {
     const Json::Value answer = parse(text);
-    if (!answer.isObject() || !answer["jsonrpc"].isString() || !answer["id"].isIntegral()) {
-        throw rpc_error("answer is not a JSON-RPC 2.0 response");
+    if (!answer.isObject() || !answer["jsonrpc"].isString()) {
+        throw rpc_answer_mismatch("answer is not a JSON-RPC 2.0 response");
+    }
+    if (!answer["id"].isUInt64() || answer["id"].asUInt64() != id) {
+        throw rpc_answer_mismatch("answer has another id than the request");
     }
     if (!answer.isMember("error")) {
         return;
     }
     const Json::Value& failure = answer["error"];
     if (!failure.isObject() || !failure["code"].isInt() || !failure["message"].isString()) {
-        throw rpc_error("error of the answer has no valid code or message");
+        throw rpc_answer_mismatch("error of the answer has no valid code or message");
     }
 }
 
@@ -64,24 +67,32 @@
 
 } // namespace
 
-std::string make_rpc_request(const std::string& method, const std::string& params) {
+std::string make_rpc_request(std::uint64_t id, const std::string& method,
+                             const std::string& params) {
     // The library requires an answer to each request; this one is ignored.
     in_memory_connector connector(R"({"jsonrpc":"2.0","id":1,"result":null})");
     jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
     try {
         const Json::Value parsed = parse(params);
         client.CallMethod(method, parsed);
+        Json::Value request = parse(connector.request());
+        request["id"] = Json::UInt64(id); // The library gives every request the same id.
+        return write(request);
     } catch (const std::exception& failure) {
         throw rpc_error(std::string("invalid params: ") + failure.what());
     }
-    return connector.request();
 }
 
-std::string read_rpc_result(const std::string& method, const std::string& answer) {
+std::string read_rpc_result(std::uint64_t id, const std::string& method,
+                            const std::string& answer) {
+    try {
+        check_answer(id, answer);
+    } catch (const std::exception& failure) {
+        throw rpc_answer_mismatch(failure.what());
+    }
     in_memory_connector connector(answer);
     jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
     try {
-        check_answer(answer);
         return write(client.CallMethod(method, Json::Value(Json::objectValue)));
     } catch (const std::exception& failure) {
         throw rpc_error(failure.what());
--- a/src/links/internal/tcp_peer_link.cpp
+++ b/src/links/internal/tcp_peer_link.cpp
@@ -1,5 +1,6 @@
 #include "links/peer_link.h"
 
+#include "links/backend_codec.h"
 #include "links/backend_link.h"
 #include "links/internal/peer_connection.h"
 #include "links/internal/rpc_client_codec.h"
@@ -47,9 +48,9 @@
     return state == asio::error::would_block;
 }
 
-std::string encode_call(const std::string& method, const std::string& params) {
+std::string encode_call(std::uint64_t id, const std::string& method, const std::string& params) {
     try {
-        return make_rpc_request(method, params);
+        return make_rpc_request(id, method, params);
     } catch (const rpc_error& failure) {
         throw peer_call_failed(method + ": " + failure.what());
     }
@@ -78,11 +79,13 @@
     peer_key m_key;
     std::list<idle_connection> m_idle; ///< least recently used first
     std::size_t m_bytes = 0;
+    std::uint64_t m_last_id = 0; ///< of the requests, over all connections
 };
 
 awaitable<std::string> tcp_peer_link::call(endpoint peer, std::string method, std::string params,
                                            clock::time_point deadline) {
-    const std::string request = encode_call(method, params);
+    const std::uint64_t id = ++m_last_id;
+    const std::string request = encode_call(id, method, params);
     connection_ptr connection = take_idle(peer);
     if (!connection) {
         connection = co_await open(peer, deadline);
@@ -97,11 +100,15 @@
         close_idle_since(peer, started);
         throw;
     }
-    store_idle(peer, std::move(connection));
     try {
-        co_return read_rpc_result(method, answer);
+        auto result = read_rpc_result(id, method, answer);
+        store_idle(peer, std::move(connection));
+        co_return result;
     } catch (const rpc_error& failure) {
+        store_idle(peer, std::move(connection));
         throw peer_call_failed(method + " at " + peer.str() + ": " + failure.what());
+    } catch (const rpc_answer_mismatch& failure) {
+        throw unexpected_answer(method + " at " + peer.str() + ": " + failure.what());
     }
 }
 
@@ -114,6 +121,8 @@
         frame = co_await read_peer_frame(connection, max_peer_message_bytes + peer_seal_bytes);
         m_bytes += connection.bytes - before;
         co_return connection.session.open(frame);
+    } catch (const decode_error& failure) {
+        throw unexpected_answer(std::string("no answer from the peer: ") + failure.what());
     } catch (const std::exception& failure) {
         throw link_error(std::string("no answer from the peer: ") + failure.what(), true);
     }
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/errors.h"
 #include "base/types/endpoint.h"
+#include "links/backend_link.h"
 
 #include <utility>
 
@@ -24,6 +25,13 @@
     using error::error;
 };
 
+/// The peer sent something else than the answer to the call, such as a repeat of an earlier answer.
+/// The call may have been handled; the connection has been closed.
+class unexpected_answer : public link_error {
+public:
+    explicit unexpected_answer(const std::string& what) : link_error(what, true) {}
+};
+
 /// The peer's machine refused the connection because no process listens on the address, so the
 /// instance has ended.
 class peer_not_running : public error {
@@ -49,7 +57,8 @@
 
     /// Calls `method` with the JSON object `params` and returns the result as JSON text. A request
     /// that may have been sent is not repeated. Throws link_error when the peer cannot be reached,
-    /// does not know the secret or does not answer by `deadline`; peer_not_running when its machine
+    /// does not know the secret or does not answer by `deadline`, unexpected_answer when it sends
+    /// something else than the answer; peer_not_running when its machine
     /// refuses the connection; peer_call_failed when it answers with an error.
     [[nodiscard]] virtual boost::asio::awaitable<std::string>
     call(endpoint peer, std::string method, std::string params, clock::time_point deadline) = 0;
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -1,4 +1,5 @@
 #include "links/backend_link.h"
+#include "links/internal/peer_connection.h"
 #include "links/internal/peer_session.h"
 #include "links/peer_link.h"
 
@@ -117,5 +118,78 @@
     EXPECT_EQ(call(*m_link, "echo", "{}"), "{}");
 }
 
+/// A peer whose answers are texts of the test, each sealed as the next frame of its connection.
+/// With `m_repeats` it sends the frame of the first answer again in place of later ones.
+class odd_peer_test : public tcp_peer_link_test {
+protected:
+    odd_peer_test() { asio::co_spawn(m_io, accept_connections(), asio::detached); }
+
+    awaitable<void> accept_connections() {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(tcp::socket socket) {
+        peer_connection connection(boost::beast::tcp_stream(std::move(socket)), peer_side::server,
+                                   derive_peer_key({"secret"}));
+        try {
+            const auto hello = co_await read_peer_frame(connection, peer_hello_bytes);
+            connection.session.accept_hello(hello);
+            std::string frame = connection.session.hello();
+            co_await write_peer_frame(connection, frame);
+            frame.clear();
+            while (true) {
+                const auto request = co_await read_peer_frame(connection, max_peer_message_bytes);
+                static_cast<void>(connection.session.open(request));
+                if (!m_repeats || frame.empty()) {
+                    frame = connection.session.seal(m_answer);
+                }
+                co_await write_peer_frame(connection, frame);
+            }
+        } catch (const std::exception&) {
+            co_return;
+        }
+    }
+
+    std::string call_odd_peer() {
+        const endpoint address("127.0.0.1", m_acceptor.local_endpoint().port());
+        const auto deadline = steady_clock().now() + std::chrono::seconds(60);
+        auto done =
+            asio::co_spawn(m_io, m_link->call(address, "echo", "{}", deadline), asio::use_future);
+        m_io.restart();
+        while (done.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+            m_io.run_one();
+        }
+        return done.get();
+    }
+
+    tcp::acceptor m_acceptor{m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    std::string m_answer = R"({"jsonrpc":"2.0","id":1,"result":"first"})";
+    bool m_repeats = false;
+};
+
+// Guards against a call that takes the answer to an earlier one, sealed anew, for its own.
+TEST_F(odd_peer_test, answer_to_an_earlier_call_ends_the_call) {
+    EXPECT_EQ(call_odd_peer(), R"("first")");
+    EXPECT_THROW(call_odd_peer(), link_error);
+}
+
+// Guards against a call that takes the repeated frame of an earlier answer for its own.
+TEST_F(odd_peer_test, repeated_frame_ends_the_call) {
+    m_repeats = true;
+    EXPECT_EQ(call_odd_peer(), R"("first")");
+    m_answer = R"({"jsonrpc":"2.0","id":2,"result":"second"})";
+    EXPECT_THROW(call_odd_peer(), link_error);
+}
+
+// Guards against a statement that is run again elsewhere, because an answer that cannot be read is
+// taken for a refusal.
+TEST_F(odd_peer_test, unreadable_answer_is_no_refusal) {
+    m_answer = R"({"jsonrpc":"2.0","id":1,"res)";
+    EXPECT_THROW(call_odd_peer(), link_error);
+}
+
 } // namespace
 } // namespace oriole::links
