Guard the backend link against an answer that arrives twice

The HTTP front end's link to backend servers matches answers by their id. The id of an answered call is no longer pending, so the second answer closes the link and the calls on it end as sent. The tests had an unknown id, but no repeated one.

--- a/src/links/tests/backend_link_test.cpp
+++ b/src/links/tests/backend_link_test.cpp
@@ -141,6 +141,19 @@
     expect(start_call(seconds(60)), "not sent");
 }
 
+// Guards against an answer that arrives a second time and is taken for the answer to a later call.
+TEST_F(backend_link_test, repeated_answer_reaches_no_other_call_and_closes_link) {
+    const auto first = start_call(seconds(60));
+    const auto first_id = receive(1).at(0).id;
+    answer(first_id, 7);
+    expect(first, "term 7");
+    const auto second = start_call(seconds(60));
+    (void)receive(1);
+    answer(first_id, 7);
+    expect(second, "sent");
+    EXPECT_FALSE(m_link->usable());
+}
+
 // Guards against a truncated answer that is accepted as complete.
 TEST_F(backend_link_test, truncated_frame_fails_the_call) {
     const auto call_index = start_call(seconds(60));
