--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -1,6 +1,7 @@
 """A simulated backend server: its log, sessions with prepared statements, and injected faults."""
 
 import asyncio
+import random
 import time
 
 DURABILITY_CHECK_S = 0.005
@@ -59,8 +60,10 @@
     Faults: `lag_s` is the replication lag, `dark` leaves all requests unanswered, without
     `receiving` a replica receives no entries, without `can_pause` PAUSE closes the connection, and
     the next `lost_answers` requests that have an id are executed but not answered. The next
-    `repeated_answers` answers are sent a second time, `repeat_delay_s` after the first. `ran` records
-    the executed statements as (request id, account, words, transaction state, session values)."""
+    `repeated_answers` answers are sent a second time, `repeat_delay_s` after the first. The share
+    `busy_share` of the statements that have an id is answered BUSY. `ran` records the executed
+    statements as (request id, account, words, transaction state, session values), `answered` their
+    successes as (request id, rows)."""
 
     def __init__(self, database, server_id, zone):
         self.database = database
@@ -77,9 +80,11 @@
         self.lost_answers = 0
         self.repeated_answers = 0
         self.repeat_delay_s = 0.0
+        self.busy_share = 0.0
         self.writes = 0  # entries written to the store
         self.state = "ready"
         self.ran = []
+        self.answered = []
         self.connections = set()
         self.sessions = set()
         self.port = 0
@@ -241,16 +246,22 @@
         words = split_statement(text)
         if self.state == "E" and words[0] != "ROLLBACK":
             return self.fail_statement("MALFORMED")
+        if request_id != "-" and random.random() < self.server.busy_share:
+            return self.fail_statement("BUSY")
         handler = getattr(self, "do_" + words[0].lower(), None)
         if handler is None:
             return self.fail_statement("MALFORMED")
-        return handler(request_id, words)
+        try:
+            return handler(request_id, words)
+        except IndexError:  # A field is missing.
+            return self.fail_statement("MALFORMED")
 
     def record_execution(self, request_id, words):
         self.server.ran.append((request_id, self.account, words, self.state, dict(self.values)))
 
     def complete(self, request_id, rows=()):
         """Returns an answer with rows, signed with the ids of the server and the request."""
+        self.server.answered.append((request_id, [str(row) for row in rows]))
         rows = "".join(f"DATAROW {row}\r\n" for row in rows)
         return f"{rows}COMPLETE signed-{self.server.id}-{request_id}\r\n"
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -2,6 +2,9 @@
 violation."""
 
 import collections
+import re
+
+from history import Statement
 
 # Upper limits stated in the users' documentation.
 KEY_WITHDRAWAL_LIMIT_S = 5.0
@@ -17,20 +20,57 @@
 # Allows for the delay between the arrival of an answer and the time the caller records for it.
 CLOCK_MARGIN_S = 0.05
 
+# Longer texts are cut in findings.
+MAX_SHOWN = 120
+
 # Errors that guarantee that the statement had no effect.
 NO_EFFECT_ERRORS = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 
 
+def shown(text):
+    """A text of arbitrary bytes in a finding."""
+    return repr(text) if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]!r}... ({len(text)} bytes)"
+
+
+def sequence_number(data):
+    """The sequence number of a write, with which its data begins; None if it has none."""
+    found = re.match(r"w\d*-(\d+)", data)
+    return int(found[1]) if found else None
+
+
 def check_answers(history):
     """A successful answer has the signature of a backend server that ran this request."""
     ran = collections.defaultdict(set)
     for run in history.runs:
         ran[run.request].add(f"signed-{run.server}-{run.request}")
     for statement in history.statements:
-        word = statement.text.split(" ")[0]
-        served = word in ("READ", "WRITE", "COMMIT", "EXECUTE") and statement.error is None
+        served = statement.verb in ("READ", "WRITE", "COMMIT", "EXECUTE") and not statement.error
         if served and statement.signature not in ran[statement.request]:
-            yield f"request {statement.request}: success without the signature of its server"
+            yield (f"request {statement.request}: success without the signature of its server: "
+                   f"{shown(str(statement.signature))}")
+
+
+def check_rows(history):
+    """A successful answer has the rows that the server with its signature has sent for it, and a read
+    returns the whole data of a write of its item."""
+    written = collections.defaultdict(set)
+    for statement in history.statements + pending_statements(history):
+        if statement.data is not None:
+            written[statement.item].add(statement.data)
+    for statement in history.statements:
+        if statement.error is not None or statement.signature is None:
+            continue
+        rows = " ".join(shown(row) for row in statement.rows)
+        if (statement.signature, statement.rows) not in history.answers:
+            yield f"request {statement.request}: rows that its server has not sent: {rows}"
+        known = written[statement.item] | {"None"} if statement.reads else set()
+        if not known.issuperset(statement.rows):
+            yield f"request {statement.request}: rows that nobody has written: {rows}"
+
+
+def pending_statements(history):
+    return [Statement(request, 0, "", "", text, (), "", 0.0, 0.0, "LOST")
+            for request, (_, text) in history.pending.items()]
 
 
 def check_requests(history):
@@ -42,15 +82,13 @@
         statement = sent.get(run.request)
         if statement is None:
             if run.request not in history.pending:
-                yield f"request {run.request}: no caller sent it"
+                yield f"request {run.request}: no caller sent it: {shown(' '.join(run.words))}"
             continue
         if run.account != statement.account:
             yield f"request {run.request}: ran for {run.account}, not {statement.account}"
-        words = statement.text.split(" ")
-        if words[0] == "EXECUTE":
-            words = [statement.shape] + words[2:]
-        if list(run.words) != words:
-            yield f"request {run.request}: ran {' '.join(run.words)}, not {' '.join(words)}"
+        if run.words != statement.words:
+            yield (f"request {run.request}: ran {shown(' '.join(run.words))}, not "
+                   f"{shown(' '.join(statement.words))}")
 
 
 def check_sessions(history):
@@ -72,13 +110,12 @@
     counts = collections.Counter(entry.data for entry in history.committed)
     for data, count in counts.items():
         if count > 1:
-            yield f"write {data}: committed {count} times"
+            yield f"write {shown(data)}: committed {count} times"
     for statement in history.statements:
-        words = statement.text.split(" ")
-        if words[0] == "WRITE" and not statement.in_transaction:
-            if statement.error in NO_EFFECT_ERRORS and counts[words[2]]:
+        if statement.data is not None and not statement.in_transaction:
+            if statement.error in NO_EFFECT_ERRORS and counts[statement.data]:
                 yield f"request {statement.request}: committed although answered {statement.error}"
-    open_operations = set(history.pending.values())
+    open_operations = {operation for operation, _ in history.pending.values()}
     for number, operation in transactions(history).items():
         if number in open_operations:
             continue  # The pending request may be the commit of this transaction.
@@ -86,8 +123,7 @@
         if commit is not None and commit.error not in NO_EFFECT_ERRORS:
             continue
         for statement in operation:
-            words = statement.text.split(" ")
-            if words[0] == "WRITE" and counts[words[2]]:
+            if statement.data is not None and counts[statement.data]:
                 yield f"request {statement.request}: committed although its transaction was not"
 
 
@@ -106,17 +142,15 @@
     found = []
     operations = transactions(history)
     for statement in history.statements:
-        words = statement.text.split(" ")
-        if words[0] == "WRITE" and not statement.in_transaction and statement.error is None:
-            found.append((statement.ended, words[1], words[2], statement.session))
+        if statement.data is not None and not statement.in_transaction and statement.error is None:
+            found.append((statement.ended, statement.item, statement.data, statement.session))
     for operation in operations.values():
         commit = operation[-1]
         if commit.text != "COMMIT" or commit.error is not None:
             continue
         for statement in operation:
-            words = statement.text.split(" ")
-            if words[0] == "WRITE":
-                found.append((commit.ended, words[1], words[2], commit.session))
+            if statement.data is not None:
+                found.append((commit.ended, statement.item, statement.data, commit.session))
     return [write for write in found if write[2] not in history.rolled_back]
 
 
@@ -125,7 +159,7 @@
     kept = {entry.data for entry in history.committed}
     for _, _, data, _ in acknowledged_writes(history):
         if data not in kept:
-            yield f"write {data}: acknowledged but not in the log"
+            yield f"write {shown(data)}: acknowledged but not in the log"
 
 
 def check_reads(history):
@@ -133,20 +167,19 @@
     session's own writes. An item's sequence number grows with each write."""
     by_item = collections.defaultdict(list)
     for at, item, data, session in acknowledged_writes(history):
-        by_item[item].append((at, int(data.split("-")[1]), session))
+        by_item[item].append((at, sequence_number(data), session))
     for statement in history.statements:
-        words = statement.text.split(" ")
-        if words[0] != "READ" or statement.error is not None or statement.in_transaction:
+        if not statement.reads or statement.error is not None or statement.in_transaction:
             continue
         age = MAX_READ_AGE_S[statement.database]
-        due = [number for at, number, session in by_item[words[1]]
+        due = [number for at, number, session in by_item[statement.item]
                if at < statement.started - age - CLOCK_MARGIN_S or
                (statement.database == "own" and session == statement.session and
                 at < statement.started)]
         row = statement.rows[0] if statement.rows else "None"
-        seen = int(row.split("-")[1]) if row != "None" else 0
+        seen = sequence_number(row) or 0
         if due and seen < max(due):
-            yield (f"request {statement.request}: read {row}, but write number {max(due)} "
+            yield (f"request {statement.request}: read {shown(row)}, but write number {max(due)} "
                    "had to be visible")
 
 
@@ -231,11 +264,11 @@
         if not killed and not crossed:
             state = "ran" if lost.request in ran else "did not run"
             yield (f"request {lost.request}: no whole answer from {lost.instance} within "
-                   f"{lost.ended - lost.started:.2f} s, {state}: {lost.text}")
+                   f"{lost.ended - lost.started:.2f} s, {state}: {shown(lost.text)}")
 
 
 def judge(history, rate, burst):
-    checks = [check_answers, check_requests, check_sessions, check_writes, check_lost_writes,
+    checks = [check_answers, check_rows, check_requests, check_sessions, check_writes, check_lost_writes,
               check_reads, check_fencing_tokens, check_keys, check_evacuations, check_recovery,
               check_stops, check_own_ends, check_unanswered_requests]
     findings = [finding for check in checks for finding in check(history)]
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -21,6 +21,7 @@
 
     def add(self, statement, run=None):
         self.history.add_statement(statement)
+        self.history.answers.add((statement.signature, statement.rows))
         if run is not None:
             self.history.add_run(run)
 
@@ -46,13 +47,99 @@
         self.history.add_run(dataclasses.replace(self.run, request="9"))
         self.assertIn("no caller sent it", self.findings()[0])
 
+    def use_text(self, text, ran=None, shape=None):
+        """The write has this text; the server ran `ran` if given."""
+        statement = dataclasses.replace(self.write, text=text, shape=shape)
+        self.history.statements[0] = statement
+        self.history.runs[0] = dataclasses.replace(self.run, words=ran or statement.words)
+        self.history.committed = [Entry("a", statement.data)]
+
+    # Guards against findings for a text with every byte.
+    def test_text_with_every_byte_has_no_findings(self):
+        self.use_text("WRITE a w-1\nQUERY f1 WRITE b x\r \0\xff\r")
+        self.read(2.0, "w-1\nQUERY f1 WRITE b x\r \0\xff\r")
+        self.assertEqual(self.findings(), [])
+
+    def test_text_that_is_cut_at_a_line_feed_is_found(self):
+        self.use_text("WRITE a w-1\nb", ("WRITE", "a", "w-1"))
+        self.assertIn("ran 'WRITE a w-1', not 'WRITE a w-1\\nb'", self.findings()[0])
+
+    def test_text_without_its_last_blank_is_found(self):
+        self.use_text("WRITE a w-1 ", ("WRITE", "a", "w-1"))
+        self.assertIn("ran 'WRITE a w-1', not 'WRITE a w-1 '", self.findings()[0])
+
+    def test_executed_text_that_is_cut_at_a_line_feed_is_found(self):
+        self.use_text("EXECUTE s a w-1\nb", ("q", "a", "w-1"), shape="q")
+        self.assertIn("ran 'q a w-1', not 'q a w-1\\nb'", self.findings()[0])
+
+    def test_prepared_query_that_is_cut_at_a_line_feed_is_found(self):
+        self.use_text("EXECUTE s a w-1", ("q", "a", "w-1"), shape="q\n1")
+        self.assertIn("ran 'q a w-1', not 'q\\n1 a w-1'", self.findings()[0])
+
+    def test_statement_inside_a_text_that_runs_is_found(self):
+        self.use_text("WRITE a w-1\nQUERY f1 WRITE b x")
+        self.history.add_run(dataclasses.replace(self.run, request="f1", words=("WRITE", "b", "x")))
+        self.assertIn("request f1: no caller sent it: 'WRITE b x'", self.findings()[0])
+
+    def test_executed_write_that_took_effect_twice_is_found(self):
+        self.use_text("EXECUTE s a w-1\nb", shape="q")
+        self.history.committed *= 2
+        self.assertIn("write 'w-1\\nb': committed 2 times", self.findings()[0])
+
+    def test_executed_write_after_a_no_effect_error_is_found(self):
+        self.use_text("EXECUTE s a w-1\nb", shape="q")
+        self.history.statements[0] = dataclasses.replace(self.history.statements[0], error="BUSY")
+        self.assertIn("committed although answered BUSY", self.findings()[0])
+
+    def test_acknowledged_write_of_which_a_part_is_in_the_log_is_found(self):
+        self.use_text("WRITE a w-1\nb")
+        self.history.committed = [Entry("a", "w-1")]
+        self.assertIn("write 'w-1\\nb': acknowledged but not in the log", self.findings()[0])
+
+    def test_row_that_is_cut_at_a_line_feed_is_found(self):
+        self.use_text("WRITE a w-1\nb")
+        self.read(2.0, "w-1\nb")
+        self.history.statements[1] = dataclasses.replace(self.history.statements[1], rows=("w-1",))
+        self.assertIn("request 2: rows that its server has not sent: 'w-1'", self.findings()[0])
+
+    def test_row_of_another_request_is_found(self):
+        self.read(2.0, "w-1")
+        self.history.answers = {("signed-i-0-1", ()), ("signed-i-0-2", ("None",)),
+                                ("signed-i-0-3", ("w-1",))}
+        self.assertIn("request 2: rows that its server has not sent: 'w-1'", self.findings()[0])
+
+    def test_row_that_nobody_has_written_is_found(self):
+        self.read(2.0, "w-1\nDATAROW")
+        self.assertIn("request 2: rows that nobody has written", self.findings()[0])
+
+    # Guards against a finding for a row of a write whose answer has not arrived.
+    def test_row_of_a_pending_write_is_allowed(self):
+        self.history.expect("3", 3, "WRITE a w-2\nb")
+        self.read(2.0, "w-2\nb")
+        self.assertEqual(self.findings(), [])
+
+    def test_answer_of_another_request_is_found(self):
+        self.read(2.0, "w-1")
+        read = self.history.statements[1]
+        self.add(dataclasses.replace(read, request="3"), dataclasses.replace(
+            self.history.runs[1], request="3"))
+        self.assertIn("request 3: success without the signature of its server: 'signed-i-0-2'",
+                      self.findings()[0])
+
+    def test_stale_executed_read_is_found(self):
+        self.read(2.0, "None")
+        self.history.statements[1] = dataclasses.replace(
+            self.history.statements[1], text="EXECUTE s a", shape="q")
+        self.history.runs[1] = dataclasses.replace(self.history.runs[1], words=("q", "a"))
+        self.assertIn("had to be visible", self.findings()[0])
+
     def test_statement_of_another_account_is_found(self):
         self.history.runs[0] = dataclasses.replace(self.run, account="kita")
         self.assertIn("ran for kita", self.findings()[0])
 
     def test_changed_text_is_found(self):
         self.history.runs[0] = dataclasses.replace(self.run, words=("WRITE", "a", "w-2"))
-        self.assertIn("ran WRITE a w-2", self.findings()[0])
+        self.assertIn("ran 'WRITE a w-2'", self.findings()[0])
 
     def test_values_of_another_session_are_found(self):
         self.history.runs[0] = dataclasses.replace(self.run, values=(("x", "2"),))
@@ -80,7 +167,7 @@
     def test_transaction_with_an_open_commit_is_not_judged(self):
         self.history.statements[0] = dataclasses.replace(self.write, in_transaction=True)
         self.history.runs[0] = dataclasses.replace(self.run, state="T")
-        self.history.expect("2", self.write.operation)
+        self.history.expect("2", self.write.operation, "COMMIT")
         self.assertEqual(self.findings(), [])
 
     def test_lost_write_is_found(self):
--- a/tests/soak/planted_fault_test.py
+++ b/tests/soak/planted_fault_test.py
@@ -1,13 +1,16 @@
 """Tests that the soak finds planted faults of processes: each guards against a soak that passes
-although a process ended by itself or a request got no whole answer."""
+although a process ended by itself, a request got no whole answer or that of another request, or a
+text was cut."""
 
 import os
 import shutil
 import signal
 import threading
 import unittest
+from unittest import mock
 
 from soak import Soak, parse_options
+from users_platform.backend import Connection
 
 SECONDS = 6.0
 PLANTED_AT_S = 2.0
@@ -46,5 +49,68 @@
                             for finding in findings), findings)
 
 
+class PlantedServerFaultTest(unittest.TestCase):
+    """The servers' connections behave as if the instances mixed up texts or answers."""
+
+    def findings(self, method, planted):
+        """Runs the soak without other faults. `planted` replaces the method of the connections."""
+        options = parse_options(["--planned-work", "--seconds", str(SECONDS)])
+        soak = Soak(1, options)
+        self.addCleanup(shutil.rmtree, soak.work_dir, ignore_errors=True)
+        soak.faults.reserved.update(soak.site.instances)
+        with mock.patch.object(Connection, method, planted):
+            return soak.run()
+
+    def assert_found(self, text, findings):
+        self.assertTrue(any(text in finding for finding in findings), findings[:10])
+
+    def test_texts_that_are_cut_at_a_line_feed_are_found(self):
+        execute = Connection.execute
+        findings = self.findings("execute", lambda connection, request, text: execute(
+            connection, request, text.partition("\n")[0]))
+        self.assert_found(": ran ", findings)
+
+    def test_requests_inside_of_texts_that_run_are_found(self):
+        execute = Connection.execute
+
+        def execute_all(connection, request, text):
+            answer = execute(connection, request, text)
+            _, found, inside = text.partition("\nQUERY ")
+            if found:
+                execute(connection, *inside.split(" ", 1))
+            return answer
+
+        self.assert_found("no caller sent it", self.findings("execute", execute_all))
+
+    def test_rows_of_other_requests_are_found(self):
+        complete = Connection.complete
+        rows_sent = [""]
+
+        def complete_with_earlier_rows(connection, request, rows=()):
+            own_rows, word, signature = complete(connection, request, rows).rpartition("COMPLETE ")
+            rows_sent.append(own_rows)
+            return rows_sent[-2] + word + signature
+
+        self.assert_found("rows that its server has not sent",
+                          self.findings("complete", complete_with_earlier_rows))
+
+    def test_answers_to_other_requests_are_found(self):
+        complete = Connection.complete
+        self.assert_found("success without the signature of its server", self.findings(
+            "complete", lambda connection, request, rows=(): complete(connection, request, rows)
+            .replace(f"-{request}\r", "-c1\r")))
+
+    def test_errors_that_repeat_an_earlier_one_are_found(self):
+        execute = Connection.execute
+
+        def execute_and_deny(connection, request, text):
+            answer = execute(connection, request, text)
+            return "ERROR BUSY x\r\n" if text.startswith("WRITE ") else answer
+
+        findings = self.findings("execute", execute_and_deny)
+        self.assert_found("committed 2 times", findings)
+        self.assert_found("committed although answered BUSY", findings)
+
+
 if __name__ == "__main__":
     unittest.main()
