Let the soak's servers and platform send answers twice

What callers saw: with servers that repeat answers, a read got the rows of an earlier one. No fault kind of the soak repeated an answer.

Half of the callers send without pauses and the rate limit is higher, so that connections are in use again when a repetition arrives. Without the option a seed gives the same faults as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,10 +7,13 @@
 import threading
 import time
 
+from repeats import Repeats
 from site_under_soak import STOP_GRACE_S
 
 # Share of restores of the store among the faults, where they are wanted.
 RESTORE_SHARE = 0.25
+# The same for answers that are sent twice.
+REPEAT_SHARE = 0.5
 # The longest time until the operator and the servers write again what a restored store has lost.
 MAX_REWRITE_DELAY_S = 1.0
 
@@ -21,10 +24,11 @@
 
     prefix = "do_"  # of the methods among which the generator chooses
 
-    def __init__(self, site, random, with_restores=False):
+    def __init__(self, site, random, with_restores=False, with_repeats=False):
         self.site = site
         self.random = random
         self.with_restores = with_restores
+        self.repeats = Repeats(self) if with_repeats else None
         self.kinds = [getattr(self, name) for name in sorted(dir(self))
                       if name.startswith(self.prefix)]
         self.reserved = set()  # targets of active faults; two faults never have the same target
@@ -42,12 +46,18 @@
     def start_random(self):
         """Starts a fault of a random kind; returns its name and the function that ends it. Returns
         None when that kind has no free target."""
-        # Without restores, a seed gives the same faults as before there were any.
-        restores = self.with_restores and self.random.random() < RESTORE_SHARE
-        kind = self.restore_store if restores else self.random.choice(self.kinds)
+        kind = self.choose_kind()
         end = kind()
         return (kind.__name__.removeprefix(self.prefix), end) if end is not None else None
 
+    def choose_kind(self):
+        # Without the options, a seed gives the same faults as before there were any.
+        if self.with_restores and self.random.random() < RESTORE_SHARE:
+            return self.restore_store
+        if self.repeats is not None and self.random.random() < REPEAT_SHARE:
+            return self.random.choice(self.repeats.kinds)
+        return self.random.choice(self.kinds)
+
     def reserve_instance(self):
         return self.reserve(self.site.instances)
 
--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from history import Entry, TimestampedRuns
+from history import Entry, RecordedAnswers, TimestampedRuns
 from platform_fixtures import LOOPBACK, ROOT, STOP_GRACE_S, Platform, free_port
 from oriole_site.http import fetch_status, put_json
 
@@ -141,11 +141,11 @@
 
 
 class Site:
-    def __init__(self, history, work_dir, build, instances=DEFAULT_INSTANCES, work_s=0.0,
-                 stop_grace_s=STOP_GRACE_S, sync_replicas=0):
+    def __init__(self, history, work_dir, build, instances=DEFAULT_INSTANCES, rate=RATE,
+                 work_s=0.0, stop_grace_s=STOP_GRACE_S, sync_replicas=0):
         """`work_s` is the time that a server takes for each request."""
         self.history = history
-        self.platform = Platform(RATE, BURST, sync_replicas=sync_replicas)
+        self.platform = Platform(rate, BURST, sync_replicas=sync_replicas)
         self.servers = list(self.platform.database.servers.values())
         for server in self.servers:
             server.work_s = work_s
@@ -169,6 +169,7 @@
         database, store = self.platform.database, self.platform.store
         for server in self.servers:
             server.ran = TimestampedRuns(self.history, server)
+            server.answered = RecordedAnswers(self.history, server)
         promote, change, put = database.promote, store.change, store.put
 
         def recording_promote(server):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 
 CALLERS = 12
 MAX_ACTIVE_FAULTS = 3
+HIGH_RATE = 1000  # more than the callers send
 SERVER_WORK_S = 0.005
 JUDGE_INTERVAL_S = 5.0
 READY_TIMEOUT_S = 20.0
@@ -37,16 +38,20 @@
         self.work_dir = tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-")
         self.history = History()
         site_options.setdefault("work_s", SERVER_WORK_S if options.planned_work else 0.0)
-        self.site = Site(self.history, self.work_dir, options.build, options.instances,
+        self.rate = HIGH_RATE if options.repeated_answers else RATE
+        self.site = Site(self.history, self.work_dir, options.build, options.instances, self.rate,
                          sync_replicas=options.sync_replicas, **site_options)
         self.random = random.Random(seed)
         kinds = PlannedWork if options.planned_work else Faults
         if options.sync_replicas:
             kinds = SynchronousFaults
-        self.faults = kinds(self.site, self.random, options.store_restores)
-        # With planned work, every second caller sends its next operation at once.
+        self.faults = kinds(self.site, self.random, options.store_restores,
+                            options.repeated_answers)
+        # Every second caller sends its next operation at once, where it matters that connections are
+        # in use.
+        busy = options.planned_work or options.repeated_answers
         self.callers = [Caller(self.site, number, CALLERS, seed,
-                               0.0 if options.planned_work and number % 4 > 1 else PAUSE_S)
+                               0.0 if busy and number % 4 > 1 else PAUSE_S)
                         for number in range(CALLERS)]
         self.active_faults = []  # (time to end it, name, function that ends it)
         self.fault_log = []  # start and end of each fault, for faults.log
@@ -125,7 +130,7 @@
             self.history.recovered[instance.name] = instance not in waiting
 
     def judge(self):
-        return judge(self.history.snapshot(self.site.log), RATE, BURST)
+        return judge(self.history.snapshot(self.site.log), self.rate, BURST)
 
     def summary(self):
         outcomes = collections.Counter(statement.error or "ok"
@@ -143,6 +148,8 @@
                         help="duration of the fault injection for each seed")
     parser.add_argument("--store-restores", action="store_true",
                         help="also restore the store from older copies")
+    parser.add_argument("--repeated-answers", action="store_true",
+                        help="servers, the store and the promotion service also send answers twice")
     parser.add_argument("--planned-work", action="store_true",
                         help="inject planned work and troubles around a start only; no request may "
                              "then be cut off")
