Let the soak's servers repeat only one kind of answer

A success that is repeated ends its connection, so that no repeated error reached a later write: with all answers repeated, no run found that a repeated BUSY was taken for a write's answer. Now a fault repeats all answers or only those that begin with one word.

--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -24,16 +24,17 @@
         return self.random.uniform(*self.random.choice(DELAY_RANGES_S))
 
     def server_repeats_answers(self):
-        return self.repeat_answers(self.site.servers, busy_share=0.0)
+        return self.repeat_answers(self.site.servers, ("", "READY", "DATAROW", "COMPLETE", "ERROR"))
 
     def busy_primary_repeats_answers(self):
         """The only server that can run writes answers some of them BUSY. A repeated BUSY must not be
         taken for the answer to a write that runs."""
         leader = self.site.platform.database.leader
         return self.repeat_answers([leader] if leader else self.site.servers,
-                                   self.random.uniform(0.1, 1.0))
+                                   ("", "ERROR"), self.random.uniform(0.1, 1.0))
 
-    def repeat_answers(self, servers, busy_share):
+    def repeat_answers(self, servers, words, busy_share=0.0):
+        """`words` are the first words of the answers that are repeated; empty for all answers."""
         server = self.faults.reserve(servers)
         if server is None:
             return None
@@ -41,6 +42,7 @@
         server.work_s = self.random.uniform(0.0, MAX_WORK_S)
         server.repeat_delay_s = self.delay_s()
         server.busy_share = busy_share
+        server.repeated_word = self.random.choice(words)
         server.repeated_answers = self.random.randint(1, MAX_REPEATED_ANSWERS)
 
         def end():
