--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,7 +13,7 @@
 # Share of restores of the store among the faults, where they are wanted.
 RESTORE_SHARE = 0.25
 # The same for answers that are sent twice.
-REPEAT_SHARE = 0.5
+REPEAT_SHARE = 0.7
 # The longest time until the operator and the servers write again what a restored store has lost.
 MAX_REWRITE_DELAY_S = 1.0
 
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -31,7 +31,7 @@
         taken for the answer to a write that runs."""
         leader = self.site.platform.database.leader
         return self.repeat_answers([leader] if leader else self.site.servers,
-                                   ("", "ERROR"), self.random.uniform(0.1, 1.0))
+                                   ("ERROR",), self.random.uniform(0.1, 1.0))
 
     def repeat_answers(self, servers, words, busy_share=0.0):
         """`words` are the first words of the answers that are repeated; empty for all answers."""
