Keep the process when a stop rolls an idle transaction back

What callers saw: all sessions of a stopping instance could end without an answer (LOST).

Cause: a session waits for the next statement of its transaction for the idle limit. In the middle of the grace period the stop rolls the transaction back and resets it, but does not end that wait. When the idle limit passed after that, the log line named the server of a transaction that was gone: a null pointer.

Why this works: the session looks at its transaction again after the wait.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -182,8 +182,10 @@
     const auto view = m_context.view();
     const auto idle_limit =
         view->config == nullptr ? clock::duration::zero() : view->config->transaction_idle;
-    if (m_transaction != nullptr && idle_limit > clock::duration::zero() &&
-        !co_await m_channel->wait_for_input(idle_limit)) {
+    const bool idle_too_long = m_transaction != nullptr && idle_limit > clock::duration::zero() &&
+                               !co_await m_channel->wait_for_input(idle_limit);
+    // A planned stop may have rolled the transaction back during the wait.
+    if (idle_too_long && m_transaction != nullptr) {
         m_context.log().write(log_entry("transaction_idle")
                                   .add("database", m_database)
                                   .add("account", m_account.str())
--- a/tests/process/users_platform_test.py
+++ b/tests/process/users_platform_test.py
@@ -281,6 +281,21 @@
         self.assertGreater(len(served), len(callers))
         self.assertEqual(cut_off, [])
 
+    # Guards against a process that ends with all its sessions, because a transaction becomes idle for
+    # too long after the stop has rolled it back.
+    def test_transaction_that_is_idle_during_a_planned_stop_does_not_end_the_process(self):
+        session = self.session("newest")
+        self.run_until_done(session, "READ a")
+        instance = self.instances[0]
+        instance.terminate()
+        # The stop rolls transactions back in the middle of the grace period.
+        time.sleep(STOP_GRACE_S / 2 - 0.6)
+        session.run("BEGIN")
+        self.assertIsNone(session.run("READ a").error)
+        time.sleep(1.3)
+        self.assertEqual(session.run("READ a").error, "ABORTED")
+        self.assertEqual(instance.process.wait(timeout=STOP_GRACE_S + 2), 0)
+
     # Guards against SIGHUP, sent after a change of the settings file, ending the instance or its
     # sessions.
     def test_hangup_keeps_open_sessions(self):
