Count a session as open until its last answer is delivered

What callers could see: a stopping process ends while a session still writes the answer to a statement that it ended without its result, or answers the statements behind it.

Cause: end_now() leaves the session to a second coroutine. When the server answered meanwhile, the first one returned, and with it the session left the list by which the stop knows whether all are closed.

Evidence: caller_service_test.session_that_ends_now_is_served_until_its_connection_is_closed fails without the change and passes with it.

Why this works: serve() returns only when the second coroutine has ended, so the list and the metric of open sessions hold until the connection is closed.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace oriole::entry {
 namespace {
@@ -41,8 +43,16 @@
     }
     m_run = nullptr;
     roll_back();
-    if (!m_left_to_other) {
-        close();
+    if (m_left_to_other) {
+        co_await wait_for_finish();
+    }
+    close();
+}
+
+asio::awaitable<void> caller_service::wait_for_finish() {
+    while (!m_finished) {
+        boost::system::error_code ignored;
+        co_await m_finish_wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
 
@@ -135,6 +145,8 @@
         log_end("session_failed", unexpected.what());
     }
     close();
+    m_finished = true;
+    m_finish_wait.cancel();
 }
 
 run_outcome caller_service::end_without_result(const statement_run& run, bool may_have_been_sent) {
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -8,6 +8,7 @@
 #include "sessions/caller_session.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <string>
@@ -19,7 +20,9 @@
 class caller_service : public std::enable_shared_from_this<caller_service> {
 public:
     caller_service(traffic_context& context, std::shared_ptr<caller_channel> channel)
-        : m_context(context), m_channel(std::move(channel)) {}
+        : m_context(context),
+          m_channel(std::move(channel)),
+          m_finish_wait(context.executor(), clock::time_point::max()) {}
 
     /// Serves the client until it disconnects or the session is closed.
     [[nodiscard]] boost::asio::awaitable<void> serve();
@@ -63,6 +66,7 @@
     /// Sends the answer of a statement that end_now() has answered, and serves the client from then
     /// on in place of serve().
     [[nodiscard]] boost::asio::awaitable<void> finish(sessions::server_answer answer);
+    [[nodiscard]] boost::asio::awaitable<void> wait_for_finish();
     /// Returns the outcome of a statement that is answered without its result, and updates the
     /// session's transaction state accordingly.
     [[nodiscard]] run_outcome end_without_result(const statement_run& run, bool may_have_been_sent);
@@ -97,6 +101,8 @@
     bool m_refusing = false; ///< nothing more is sent to a server
     /// Another coroutine than the one that awaits the outcome of a statement serves the client.
     bool m_left_to_other = false;
+    bool m_finished = false;                 ///< that coroutine has ended
+    boost::asio::steady_timer m_finish_wait; ///< canceled when it ends
     bool m_closed = false;
     /// When the last answer or the confirmation was sent; before that, when the client connected.
     clock::time_point m_answered_at = steady_clock().now();
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -2,7 +2,10 @@
 
 #include "entry/internal/caller_service.h"
 
-#include <boost/asio/detached.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -61,7 +64,8 @@
 
     boost::asio::awaitable<void> wait_for_close(clock::duration) override {
         EXPECT_TRUE(ended);
-        co_return;
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time_to_close);
+        co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
     bool has_input() override { return pipelined && !statements.empty(); }
@@ -70,6 +74,7 @@
 
     std::deque<sessions::statement> statements;
     bool pipelined = false;
+    clock::duration time_to_close{}; ///< from the last answer until the client closes
     bool fails = false;
     int taken = 0;
     int answers = 0;
@@ -121,7 +126,9 @@
     void serve_and_end_while_server_runs(const std::string& text) {
         auto& server = m_servers.at("primary");
         server.answer_delay = 20ms;
-        boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+        boost::asio::co_spawn(
+            m_io, serve_session(m_session),
+            [this](const std::exception_ptr&, bool) { m_open_at_end = !m_caller->closed; });
         while (!server_received_text(text)) {
             ASSERT_EQ(m_io.run_one_for(10s), 1U);
         }
@@ -176,6 +183,7 @@
     std::unique_ptr<decision_log> m_log = make_decision_log(::dup(STDERR_FILENO));
     metric_registry m_metrics;
     traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), *m_log, m_metrics};
+    bool m_open_at_end = false; ///< the client was still connected when serve() ended
     std::shared_ptr<fake_caller> m_caller = std::make_shared<fake_caller>();
     std::shared_ptr<caller_service> m_session =
         std::make_shared<caller_service>(m_context, m_caller);
@@ -244,6 +252,16 @@
     EXPECT_TRUE(m_caller->closed);
 }
 
+// Guards against a process that ends while a session still waits for its client to read the last
+// answer, because the session is no longer counted as open.
+TEST_F(caller_service_test, session_that_ends_now_is_served_until_its_connection_is_closed) {
+    m_caller->time_to_close = 100ms; // The server answers before.
+    send({sessions::statement_kind::write});
+    serve_and_end_while_server_runs("WRITE a b");
+    EXPECT_FALSE(m_open_at_end);
+    EXPECT_TRUE(m_caller->closed);
+}
+
 // Guards against a transaction that is kept although its client was told that it was aborted.
 TEST_F(caller_service_test, session_that_ends_now_rolls_its_running_transaction_back) {
     send({sessions::statement_kind::begin, sessions::statement_kind::write});
