Take only a whole JSON-RPC answer for a refusal

What callers could see: a write that had run is run again by another gateway. Found by the review.

Cause: an answer between instances with neither a result nor an error, with both, or of another version of JSON-RPC passed the check of the answer; the library then reported it like an error that the peer had answered, which counts as a refusal.

Evidence: rpc_codec_test.unreadable_answer_is_not_a_refusal fails with these answers before the change. The tests of odd peers now expect the type of the error, which a lost connection does not have.

Why this works: such an answer now ends the call in doubt, like any other that cannot be read.

--- a/src/links/internal/rpc_client_codec.cpp
+++ b/src/links/internal/rpc_client_codec.cpp
@@ -44,13 +44,16 @@
 /// library inside it would terminate the process.
 void check_answer(std::uint64_t id, const std::string& text) {
     const Json::Value answer = parse(text);
-    if (!answer.isObject() || !answer["jsonrpc"].isString()) {
+    if (!answer.isObject() || answer["jsonrpc"] != Json::Value("2.0")) {
         throw rpc_answer_mismatch("answer is not a JSON-RPC 2.0 response");
     }
     if (!answer["id"].isUInt64() || answer["id"].asUInt64() != id) {
         throw rpc_answer_mismatch("answer has another id than the request");
     }
-    if (!answer.isMember("error")) {
+    if (answer.isMember("result") == answer.isMember("error")) {
+        throw rpc_answer_mismatch("answer has not exactly one of a result and an error");
+    }
+    if (answer.isMember("result")) {
         return;
     }
     const Json::Value& failure = answer["error"];
--- a/src/links/tests/rpc_codec_test.cpp
+++ b/src/links/tests/rpc_codec_test.cpp
@@ -93,8 +93,15 @@
 // Guards against an answer that cannot be read and is taken for a refusal, after which the caller
 // would run its statement again elsewhere.
 TEST_F(rpc_codec_test, unreadable_answer_is_not_a_refusal) {
-    for (const std::string answer : {"", "{", "7", R"({"jsonrpc":"2.0","id":7,"error":7})"}) {
-        EXPECT_THROW(read_rpc_result(request_id, "config.offer", answer), rpc_answer_mismatch);
+    const std::string refusal = R"({"code":-32603,"message":"busy"})";
+    for (const std::string& answer :
+         {std::string(), std::string("{"), std::string("7"),
+          std::string(R"({"jsonrpc":"2.0","id":7,"error":7})"),
+          std::string(R"({"jsonrpc":"2.0","id":7})"),
+          std::string(R"({"jsonrpc":"1.0","id":7,"result":1})"),
+          R"({"jsonrpc":"2.0","id":7,"result":1,"error":)" + refusal + "}"}) {
+        EXPECT_THROW(read_rpc_result(request_id, "config.offer", answer), rpc_answer_mismatch)
+            << answer;
     }
 }
 
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -219,7 +219,7 @@
 // Guards against a call that takes the answer to an earlier one, sealed anew, for its own.
 TEST_F(odd_peer_test, answer_to_an_earlier_call_ends_the_call) {
     EXPECT_EQ(call_odd_peer(), R"("first")");
-    EXPECT_THROW(call_odd_peer(), link_error);
+    EXPECT_THROW(call_odd_peer(), unexpected_answer);
 }
 
 // Guards against a call that takes the repeated frame of an earlier answer for its own.
@@ -227,14 +227,14 @@
     m_repeats = true;
     EXPECT_EQ(call_odd_peer(), R"("first")");
     m_answer = R"({"jsonrpc":"2.0","id":2,"result":"second"})";
-    EXPECT_THROW(call_odd_peer(), link_error);
+    EXPECT_THROW(call_odd_peer(), unexpected_answer);
 }
 
 // Guards against a statement that is run again elsewhere, because an answer that cannot be read is
 // taken for a refusal.
 TEST_F(odd_peer_test, unreadable_answer_is_no_refusal) {
     m_answer = R"({"jsonrpc":"2.0","id":1,"res)";
-    EXPECT_THROW(call_odd_peer(), link_error);
+    EXPECT_THROW(call_odd_peer(), unexpected_answer);
 }
 
 } // namespace
