Accept the refusal of a commit that ends its transaction

What callers could see: INDOUBT in place of a true promise, if a server answers a refused COMMIT in state I. The protocol does not say which state it leaves.

Cause: an error in state I inside a transaction was never taken for the answer to the latest command, since it may be the refusal of the begin.

Evidence: answer_matcher_test.refused_commit_may_end_its_transaction fails without the change; refused_write_does_not_end_its_transaction keeps the rule for other statements.

Why this is safe: transactions start on connections without an error, so the refusal repeats none, and it is accepted only if no success since the last signed answer can be a repetition.

--- a/src/sessions/internal/answer_matcher.cpp
+++ b/src/sessions/internal/answer_matcher.cpp
@@ -91,8 +91,10 @@
     if (answer.state == transaction_state::open && !may_open) {
         return answer_mismatch::state_impossible;
     }
-    // An error fails the transaction. In state I it may be the answer to the begin.
-    if (answer.state == transaction_state::none && may_open) {
+    // An error fails the transaction, and may end it where the command does. Otherwise an error in
+    // state I may be the answer to the begin.
+    const bool may_end = command.ends_transaction && !m_may_be_shifted;
+    if (answer.state == transaction_state::none && may_open && !may_end) {
         return answer_mismatch::state_impossible;
     }
     // Outside a transaction a write runs although a command before it was refused. In one, the
--- a/src/sessions/tests/answer_matcher_test.cpp
+++ b/src/sessions/tests/answer_matcher_test.cpp
@@ -61,6 +61,25 @@
     answer_matcher m_matcher;
 };
 
+// Guards against a commit that is said to be in doubt, because the server that refuses it also ends
+// its transaction.
+TEST_F(answer_matcher_test, refused_commit_may_end_its_transaction) {
+    const auto open = transaction_state::open;
+    const auto refused = make_error(answer_code::read_only);
+    EXPECT_EQ(exchange(make_command(command_kind::begin), make_answer("", open)), std::nullopt);
+    EXPECT_EQ(exchange(make_statement(true), make_answer("s1", open)), std::nullopt);
+    EXPECT_EQ(exchange(make_statement(true, true), refused), std::nullopt);
+}
+
+// Guards against the refusal of a begin that is taken for that of the write behind it, which may
+// have run outside of a transaction.
+TEST_F(answer_matcher_test, refused_write_does_not_end_its_transaction) {
+    const auto open = transaction_state::open;
+    const auto refused = make_error(answer_code::read_only);
+    EXPECT_EQ(exchange(make_command(command_kind::begin), make_answer("", open)), std::nullopt);
+    EXPECT_EQ(exchange(make_statement(true), refused), answer_mismatch::state_impossible);
+}
+
 // Guards against rejecting what a server answers to a session's usual sequence of commands.
 TEST_F(answer_matcher_test, answers_in_sequence_match) {
     const auto open = transaction_state::open;
