Take a message that cannot be sent for no evidence against its server

What could happen: a healthy primary counts as failing, and a write as in doubt, because of a command with a field that cannot be sent. Decoders let no such field in today, except from an instance of another version.

Cause: the encoder's error was handled like a lost connection.

Why this works: the error now is one of those after which nothing was sent.

--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -311,6 +311,8 @@
         }
     } catch (const unexpected_answer&) {
         grant.refusal = answer_code::aborted;
+    } catch (const connection_unusable&) {
+        grant.refusal = answer_code::aborted;
     } catch (const server_unreachable&) {
         mark_failed(steady_clock().now());
         grant.refusal = answer_code::aborted;
--- a/src/entry/server_channel.h
+++ b/src/entry/server_channel.h
@@ -36,7 +36,8 @@
     using server_unreachable::server_unreachable;
 };
 
-/// The connection ended, or carried an answer that is not due, before anything was sent on it.
+/// Nothing was sent: the connection had ended, carried an answer that is not due, or cannot carry
+/// one of the messages.
 class connection_unusable : public server_unreachable {
 public:
     using server_unreachable::server_unreachable;
