Give each probe of the soak an id of its own

Cause: all probes had the id "probe", and the stand-in's signature depends only on server and id. On a connection that had served the probe's read, the answer to its write had the same signature and was taken for a repetition, as it should be. Clients use a new id for each request, so the probes now do too. The check is unchanged.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Simulated callers that send statements over sessions with the instances during a soak."""
 
 import dataclasses
+import itertools
 import random
 import threading
 import time
@@ -14,7 +15,7 @@
 PAUSE_S = 0.03  # average pause between the operations of a session
 OPERATIONS_PER_CALLER = 10**6  # makes operation numbers unique over all callers
 RETRY_PAUSE_S = 0.1
-PROBE = "probe"  # request id of the reads that test whether an instance serves again
+PROBE_NUMBERS = itertools.count(1)
 MAX_BURST = 4  # requests in one piece
 
 
@@ -224,11 +225,13 @@
 
 
 def answers(site, instance, text):
+    # Each has an id of its own, as a server's signature depends on the id.
+    request = f"probe{next(PROBE_NUMBERS)}"
     try:
         session = Session(instance.callers, "newest", site.platform.keys["kita"][0])
         try:
-            site.history.expect(PROBE, None, text)
-            session.send(f"QUERY {PROBE} {text}")
+            site.history.expect(request, None, text)
+            session.send(f"QUERY {request} {text}")
             return session.greeting.startswith("READY") and session.answer().error is None
         finally:
             session.close()
