--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -43,7 +43,7 @@
     }
     m_run = nullptr;
     roll_back();
-    if (m_left_to_other) {
+    if (m_served_by_finish) {
         co_await wait_for_finish();
     }
     close();
@@ -98,7 +98,7 @@
     while (auto statement = co_await next_statement()) {
         m_statement_running = true;
         const auto next = co_await handle(std::move(*statement));
-        if (next == next_step::leave_to_other) {
+        if (next == next_step::served_by_finish) {
             co_return;
         }
         m_statement_running = false;
@@ -119,7 +119,7 @@
     const statement_run& run = *std::exchange(m_run, nullptr);
     auto outcome = end_without_result(run, m_admitted);
     record_outcome(run, outcome);
-    m_left_to_other = true;
+    m_served_by_finish = true;
     asio::co_spawn(
         m_context.executor(),
         [self = shared_from_this(), answer = std::move(outcome.answer)]() mutable {
@@ -233,7 +233,7 @@
     m_run = &run;
     run_outcome outcome = co_await this->run(run);
     if (m_run != &run) {
-        co_return next_step::leave_to_other;
+        co_return next_step::served_by_finish;
     }
     m_run = nullptr;
     outcome.answer.state = m_session.state();
@@ -347,7 +347,7 @@
 }
 
 void caller_service::end_transaction() {
-    if (!m_left_to_other) {
+    if (!m_served_by_finish) {
         roll_back();
     }
 }
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -56,8 +56,8 @@
     enum class next_step {
         receive_next,
         end_session,
-        leave_to_other ///< end_now() has answered the statement; another coroutine serves the
-                       ///< client
+        served_by_finish ///< end_now() has answered the statement; another coroutine serves the
+                         ///< client
     };
 
     [[nodiscard]] boost::asio::awaitable<bool> open();
@@ -100,7 +100,7 @@
     bool m_ending = false;   ///< the session ends with an answer after which it is idle
     bool m_refusing = false; ///< nothing more is sent to a server
     /// Another coroutine than the one that awaits the outcome of a statement serves the client.
-    bool m_left_to_other = false;
+    bool m_served_by_finish = false;
     bool m_finished = false;                 ///< that coroutine has ended
     boost::asio::steady_timer m_finish_wait; ///< canceled when it ends
     bool m_closed = false;
--- a/src/entry/internal/gateway_link.cpp
+++ b/src/entry/internal/gateway_link.cpp
@@ -32,7 +32,7 @@
                            metric_registry& metrics)
     : m_executor(std::move(executor)),
       m_log(log),
-      m_unexpected_answers(log, metrics),
+      m_unexpected_replies(log, metrics),
       m_link(links::make_peer_link(m_executor, fleet_secret())) {}
 
 bool gateway_link::usable(const instance_id& instance, clock::time_point now) const {
@@ -106,7 +106,7 @@
     } catch (const links::peer_call_failed& failure) {
         refusal = failure.what();
     } catch (const links::unexpected_answer& failure) {
-        m_unexpected_answers.report(instance.id, failure.what());
+        m_unexpected_replies.report(instance.id, failure.what());
         reason_without_answer = failure.what();
     } catch (const links::link_error& failure) {
         (failure.sent() ? reason_without_answer : refusal) = failure.what();
--- a/src/entry/internal/gateway_link.h
+++ b/src/entry/internal/gateway_link.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "entry/internal/gateway_calls.h"
-#include "entry/internal/unexpected_answers.h"
+#include "entry/internal/unexpected_replies.h"
 #include "links/peer_link.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -58,7 +58,7 @@
 
     boost::asio::any_io_executor m_executor;
     decision_log& m_log;
-    unexpected_answers m_unexpected_answers;
+    unexpected_replies m_unexpected_replies;
     std::unique_ptr<links::peer_link> m_link;
     std::map<instance_id, health> m_health;
 };
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -33,7 +33,7 @@
     : m_executor(std::move(executor)),
       m_fleet(fleet),
       m_log(log),
-      m_unexpected_answers(log, metrics),
+      m_unexpected_replies(log, metrics),
       m_link(links::make_peer_link(m_executor, fleet_secret())),
       m_server(links::make_peer_server(m_executor, listen, "peers", fleet_secret())),
       m_apply_orders(std::move(apply_orders)) {
@@ -119,7 +119,7 @@
         set_reachable(peer.id, false, failure.what());
         m_fleet.mark_refused(peer.id, peer.incarnation, steady_clock().now());
     } catch (const links::unexpected_answer& failure) {
-        m_unexpected_answers.report(peer.id, failure.what());
+        m_unexpected_replies.report(peer.id, failure.what());
         set_reachable(peer.id, false, failure.what());
     } catch (const std::exception& failure) {
         set_reachable(peer.id, false, failure.what());
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -4,7 +4,7 @@
 
 #include "base/decision_log.h"
 #include "entry/internal/fleet_state.h"
-#include "entry/internal/unexpected_answers.h"
+#include "entry/internal/unexpected_replies.h"
 #include "links/peer_link.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -74,7 +74,7 @@
     boost::asio::any_io_executor m_executor;
     fleet_state& m_fleet;
     decision_log& m_log;
-    unexpected_answers m_unexpected_answers;
+    unexpected_replies m_unexpected_replies;
     std::unique_ptr<links::peer_link> m_link;
     std::unique_ptr<links::peer_server> m_server;
     std::function<boost::asio::awaitable<void>()> m_apply_orders;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -31,7 +31,7 @@
 };
 
 /// What a connection is acquired for.
-enum class connection_use { reads, any };
+enum class connection_use { reads, reads_and_writes };
 
 /// A connection from the pool, or the reason why there is none.
 struct pool_grant {
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -167,7 +167,8 @@
                            std::unique_ptr<open_transaction>* transaction) {
     m_tried_servers.insert(pool->server().id);
     const bool begins = transaction != nullptr;
-    auto grant = co_await acquire(pool, begins ? connection_use::any : connection_use::reads);
+    auto grant =
+        co_await acquire(pool, begins ? connection_use::reads_and_writes : connection_use::reads);
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, required);
     }
@@ -233,7 +234,7 @@
 
 asio::awaitable<run_outcome>
 statement_router::try_primary(pool_ptr pool, std::unique_ptr<open_transaction>* transaction) {
-    auto grant = co_await acquire(pool, connection_use::any);
+    auto grant = co_await acquire(pool, connection_use::reads_and_writes);
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, std::nullopt);
     }
--- a/src/entry/internal/unexpected_answers.h
+++ b/src/entry/internal/unexpected_replies.h
@@ -10,10 +10,10 @@
 
 /// Logs and counts what other instances sent in place of the answer to a call, so that operators
 /// can tell it from a lost connection. Not thread-safe.
-class unexpected_answers {
+class unexpected_replies {
 public:
     /// Precondition: the log and the metrics outlive this object.
-    unexpected_answers(decision_log& log, metric_registry& metrics)
+    unexpected_replies(decision_log& log, metric_registry& metrics)
         : m_log(log), m_count(metrics.get("oriole_unexpected_replies_total{from=\"instances\"}")) {}
 
     /// Reports that a call to the instance ended for this reason.
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -189,7 +189,7 @@
 
 // Guards against a connection with an error that is handed to a waiting write.
 TEST_F(checked_connector_test, connection_with_an_error_is_not_handed_to_a_waiting_write) {
-    const auto waiter = wait_for_connection_with_an_error(connection_use::any);
+    const auto waiter = wait_for_connection_with_an_error(connection_use::reads_and_writes);
     EXPECT_TRUE(waiter.connection);
     EXPECT_EQ(m_primary.opened, 2);
 }
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -166,9 +166,9 @@
 
 /// A peer whose answers are texts of the test, each sealed as the next frame of its connection.
 /// With `m_repeats` it sends the frame of the first answer again in place of later ones.
-class odd_peer_test : public tcp_peer_link_test {
+class misbehaving_peer_test : public tcp_peer_link_test {
 protected:
-    odd_peer_test() { asio::co_spawn(m_io, accept_connections(), asio::detached); }
+    misbehaving_peer_test() { asio::co_spawn(m_io, accept_connections(), asio::detached); }
 
     awaitable<void> accept_connections() {
         while (true) {
@@ -199,7 +199,7 @@
         }
     }
 
-    std::string call_odd_peer() {
+    std::string call_misbehaving_peer() {
         const endpoint address("127.0.0.1", m_acceptor.local_endpoint().port());
         const auto deadline = steady_clock().now() + std::chrono::seconds(60);
         auto done =
@@ -217,24 +217,24 @@
 };
 
 // Guards against a call that takes the answer to an earlier one, sealed anew, for its own.
-TEST_F(odd_peer_test, answer_to_an_earlier_call_ends_the_call) {
-    EXPECT_EQ(call_odd_peer(), R"("first")");
-    EXPECT_THROW(call_odd_peer(), unexpected_answer);
+TEST_F(misbehaving_peer_test, answer_to_an_earlier_call_ends_the_call) {
+    EXPECT_EQ(call_misbehaving_peer(), R"("first")");
+    EXPECT_THROW(call_misbehaving_peer(), unexpected_answer);
 }
 
 // Guards against a call that takes the repeated frame of an earlier answer for its own.
-TEST_F(odd_peer_test, repeated_frame_ends_the_call) {
+TEST_F(misbehaving_peer_test, repeated_frame_ends_the_call) {
     m_repeats = true;
-    EXPECT_EQ(call_odd_peer(), R"("first")");
+    EXPECT_EQ(call_misbehaving_peer(), R"("first")");
     m_answer = R"({"jsonrpc":"2.0","id":2,"result":"second"})";
-    EXPECT_THROW(call_odd_peer(), unexpected_answer);
+    EXPECT_THROW(call_misbehaving_peer(), unexpected_answer);
 }
 
 // Guards against a statement that is run again elsewhere, because an answer that cannot be read is
 // taken for a refusal.
-TEST_F(odd_peer_test, unreadable_answer_is_no_refusal) {
+TEST_F(misbehaving_peer_test, unreadable_answer_is_no_refusal) {
     m_answer = R"({"jsonrpc":"2.0","id":1,"res)";
-    EXPECT_THROW(call_odd_peer(), unexpected_answer);
+    EXPECT_THROW(call_misbehaving_peer(), unexpected_answer);
 }
 
 } // namespace
--- a/src/sessions/answer_matcher.h
+++ b/src/sessions/answer_matcher.h
@@ -19,9 +19,8 @@
 /// - Each success of a caller's statement has a signature that no other statement's success has.
 /// - All other successes have none, so one that takes the place of another is noticed at the next
 ///   signed answer at the latest.
-/// - An error has neither. After its first error the connection serves only reads, and it is used
-/// up
-///   after the second, so the error of a write is never the repetition of an earlier one.
+/// - An error has neither. After its first error the connection serves only reads, and after the
+///   second nothing more, so the error of a write is never the repetition of an earlier one.
 ///
 /// Not thread-safe; owned by the connection.
 class answer_matcher {
--- a/src/sessions/tests/answer_matcher_test.cpp
+++ b/src/sessions/tests/answer_matcher_test.cpp
@@ -205,9 +205,9 @@
 
 /// A server that answers each command once, or a second time at any later time and in any state.
 /// It refuses any kind of command now and then.
-class stuttering_server {
+class repeating_server {
 public:
-    explicit stuttering_server(std::uint32_t seed) : m_random(seed) {}
+    explicit repeating_server(std::uint32_t seed) : m_random(seed) {}
 
     [[nodiscard]] int below(int bound) {
         return static_cast<int>(m_random() % static_cast<std::uint32_t>(bound));
@@ -393,7 +393,7 @@
     }
 
     answer_matcher m_matcher;
-    stuttering_server m_server;
+    repeating_server m_server;
     int m_command = 0;
     int m_exchange = 0;
     bool m_ended = false;
