--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -101,8 +101,8 @@
     bool m_refusing = false; ///< nothing more is sent to a server
     /// Another coroutine than the one that awaits the outcome of a statement serves the client.
     bool m_served_by_finish = false;
-    bool m_finished = false;                 ///< that coroutine has ended
-    boost::asio::steady_timer m_finish_wait; ///< canceled when it ends
+    bool m_finished = false;                 ///< the coroutine of finish() has ended
+    boost::asio::steady_timer m_finish_wait; ///< canceled when it has ended
     bool m_closed = false;
     /// When the last answer or the confirmation was sent; before that, when the client connected.
     clock::time_point m_answered_at = steady_clock().now();
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -3,6 +3,7 @@
 #include "entry/internal/caller_service.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
