Give each statement of the process tests an id of its own

Traced in the log of instance-3: event=unexpected_answer request=5e reason=signature_repeated. The test sent many statements with the fixed id 5e, the 94th numbered statement of the run got the id 5e too, and the stand-in's signature depends on the server and the id only. So the instance saw a signature that the connection had carried before, as with a server that repeats an answer, and ended the connection. The protocol's ids are unique.

The fixture now draws ids from one counter, which threads may share, and has start() for tests that receive the answer later. The checks are unchanged.

--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -1,6 +1,7 @@
 """Fixtures of the tests that run oriolethread-platform against the stand-in of the users' platform
 (package standins/users_platform: configuration store, promotion service and backend servers)."""
 
+import itertools
 import os
 import shutil
 import signal
@@ -41,7 +42,9 @@
 class Session:
     """A caller's session with an instance, over the line-based wire protocol."""
 
-    _next_id = 0
+    # Ids are unique over all sessions and threads: the stand-in's signatures depend on the id only, and
+    # an instance takes a signature that comes again for that of a repeated answer.
+    _ids = itertools.count(1)
 
     def __init__(self, port, database, key):
         self.socket = socket.create_connection((LOOPBACK, port), timeout=WAIT_S)
@@ -62,10 +65,13 @@
             line += part
         return line[:-len(LINE_END)].decode(ENCODING)
 
-    def run(self, text):
-        Session._next_id += 1
-        self.last_id = f"{Session._next_id:x}"
+    def start(self, text):
+        """Sends a statement with an id of its own; answer() receives its answer."""
+        self.last_id = f"{next(Session._ids):x}"
         self.send(f"QUERY {self.last_id} {text}")
+
+    def run(self, text):
+        self.start(text)
         return self.answer()
 
     def answer(self):
--- a/tests/process/silent_connections_test.py
+++ b/tests/process/silent_connections_test.py
@@ -143,7 +143,7 @@
         for index in range(len(self.instances)):
             sessions = [self.session("own", index=index) for _ in range(4)]
             for session in sessions:
-                session.send(f"QUERY {index}a READ a")
+                session.start("READ a")
             for session in sessions:
                 session.answer()
             for session in sessions:
@@ -154,7 +154,7 @@
 
         def all_served():
             for session in sessions:
-                session.send("QUERY 5e READ a")
+                session.start("READ a")
             return not any([session.answer().error for session in sessions])
 
         self.wait(all_served, "statements at all instances at once")
--- a/tests/process/stop_answers_test.py
+++ b/tests/process/stop_answers_test.py
@@ -148,7 +148,7 @@
         """Waits for the beginning of an answer, sends the next statement, and reads the rest of the
         answer after a delay. Returns whether the answer is complete."""
         session.socket.recv(1, socket.MSG_PEEK)
-        session.send("QUERY 2 READ large")
+        session.start("READ large")
         time.sleep(self.READ_DELAY_S)
         try:
             return session.answer().rows == [self.LARGE_TEXT]
@@ -159,7 +159,7 @@
     # client's next statement has arrived unread.
     def test_last_answer_is_complete_for_a_client_that_has_sent_more(self):
         session = self.large_read_session()
-        session.send("QUERY 1 READ large")
+        session.start("READ large")
         self.instances[0].terminate()
         complete = []
         while not complete or complete[-1]:
