Tell lost replies of the store from other writers when publishing

Cause: versioned_site_store::publish() counted conflicts and lost replies as one number of attempts. Several lost updates and fewer than 16 conflicts together reached it, and the last attempt was not looked for in the history.

Fix: conflicts and lost replies are counted apart. After 4 lost replies the store counts as unreachable, which callers know how to retry with the same operation id. The change is looked for once more before either error.

The property itself is unchanged.

--- a/src/site/internal/versioned_site_store.cpp
+++ b/src/site/internal/versioned_site_store.cpp
@@ -11,7 +11,10 @@
 
 // Few operators publish concurrently, so this many conflicts in a row indicate a fault rather than
 // concurrent changes.
-constexpr int max_publish_attempts = 16;
+constexpr int max_conflicts = 16;
+
+/// Number of updates without a reply after which the store counts as unreachable.
+constexpr int max_lost_replies = 4;
 
 std::string history_path(generation number) {
     return history_prefix + std::to_string(number);
@@ -75,18 +78,27 @@
 
 publish_result versioned_site_store::publish(const proposed_change& change,
                                              majority_loss_policy policy) {
-    auto current = read_head();
-    for (int i = 0; i < max_publish_attempts; ++i) {
+    int conflicts = 0;
+    int lost_replies = 0;
+    while (true) {
+        const auto current = read_head();
         if (auto accepted = find_published(change.operation_id, change.base_generation)) {
             return *accepted;
         }
-        if (auto result = try_publish(change, policy, current)) {
-            return *result;
+        if (conflicts == max_conflicts) {
+            throw publish_contention("other writers published before this change " +
+                                     std::to_string(conflicts) + " times in a row; try again");
+        }
+        if (lost_replies == max_lost_replies) {
+            throw store_unreachable("the store did not reply to " + std::to_string(lost_replies) +
+                                    " updates of the published configuration; try again");
+        }
+        const auto attempt = try_publish(change, policy, current);
+        if (attempt.result) {
+            return *attempt.result;
         }
-        current = read_head();
+        ++(attempt.reply_lost ? lost_replies : conflicts);
     }
-    throw publish_contention("other writers published before this change " +
-                             std::to_string(max_publish_attempts) + " times in a row; try again");
 }
 
 versioned_site_store::current_head versioned_site_store::read_head() {
@@ -112,16 +124,16 @@
     return std::nullopt;
 }
 
-/// Tries once to publish the change on top of `current`; nullopt if the head was changed in the
-/// meantime or the reply was lost.
-std::optional<publish_result> versioned_site_store::try_publish(const proposed_change& change,
-                                                                majority_loss_policy policy,
-                                                                const current_head& current) {
+/// Tries once to publish the change on top of `current`. Has no result if the head was changed in
+/// the meantime or the reply was lost.
+versioned_site_store::publish_attempt
+versioned_site_store::try_publish(const proposed_change& change, majority_loss_policy policy,
+                                  const current_head& current) {
     const auto merged = merge(change, policy, current.head);
     const auto chunks = encode_site(merged);
     const auto digests = digests_of(chunks);
     if (digests == current.head.buckets()) {
-        return publish_result{current.head, current.head};
+        return {publish_result{current.head, current.head}, false};
     }
     const auto next = site_head::builder{}
                           .number(std::max(current.head.number(), change.newest_in_use) + 1)
@@ -138,20 +150,20 @@
     try {
         m_objects.put(head_path, encode_head(next), current.version, change.operation_id);
     } catch (const store_conflict&) {
-        return std::nullopt;
+        return {std::nullopt, false};
     } catch (const store_unreachable&) {
         // The update may have taken effect. The next attempt reads the head first, and that read
         // throws if the store is still unreachable.
-        return std::nullopt;
+        return {std::nullopt, true};
     }
     try {
         record_history(next);
     } catch (const store_unreachable&) {
         // The change is published. The next publisher adds the missing history entry before it
         // publishes.
-        return publish_result{current.head, next};
+        return {publish_result{current.head, next}, false};
     }
-    return publish_result{current.head, next};
+    return {publish_result{current.head, next}, false};
 }
 
 site_objects versioned_site_store::merge(const proposed_change& change, majority_loss_policy policy,
--- a/src/site/internal/versioned_site_store.h
+++ b/src/site/internal/versioned_site_store.h
@@ -24,12 +24,17 @@
         std::uint64_t version; ///< store version of the head object; 0 if absent
     };
 
+    struct publish_attempt {
+        std::optional<publish_result> result;
+        bool reply_lost; ///< the update of the head may have taken effect
+    };
+
     [[nodiscard]] current_head read_head();
     [[nodiscard]] std::optional<publish_result> find_published(const std::string& operation_id,
                                                                generation from);
-    [[nodiscard]] std::optional<publish_result> try_publish(const proposed_change& change,
-                                                            majority_loss_policy policy,
-                                                            const current_head& current);
+    [[nodiscard]] publish_attempt try_publish(const proposed_change& change,
+                                              majority_loss_policy policy,
+                                              const current_head& current);
     [[nodiscard]] site_objects merge(const proposed_change& change, majority_loss_policy policy,
                                      const site_head& current);
     void write_chunks(const chunk_texts& chunks, const bucket_digests& digests,
--- a/src/site/site_store.h
+++ b/src/site/site_store.h
@@ -71,7 +71,7 @@
     /// Merges the change into the newest configuration, checks the result and publishes it as the
     /// next generation. Idempotent: a repeated call with the same operation id returns the first
     /// result.
-    /// Throws merge_conflict, invalid_site and publish_contention.
+    /// Throws merge_conflict, invalid_site, publish_contention and store_unreachable.
     [[nodiscard]] virtual publish_result publish(const proposed_change& change,
                                                  majority_loss_policy policy) = 0;
 };
--- a/src/site/tests/site_store_test.cpp
+++ b/src/site/tests/site_store_test.cpp
@@ -109,6 +109,31 @@
     EXPECT_EQ(burst("small"), 102);
 }
 
+// Guards against an operator who is told that others published, while the store did not reply.
+TEST_F(site_store_test, updates_without_a_reply_are_not_reported_as_other_writers) {
+    m_objects.before_put = [this](const std::string& path) {
+        m_objects.faults.assign(1, path == "config/head" ? fault::request_lost : fault::none);
+    };
+    EXPECT_THROW((void)m_store->publish(burst_change("ours", "small", 101, 1, m_first),
+                                        majority_loss_policy::refuse),
+                 store_unreachable);
+    EXPECT_EQ(m_store->head()->number(), 1U);
+}
+
+// Guards against a published change that is reported as not published, because the reply to the
+// last attempt was lost.
+TEST_F(site_store_test, change_whose_last_attempt_lost_its_reply_is_found) {
+    m_objects.before_put = [this, updates = 0](const std::string& path) mutable {
+        const bool update = path == "config/head";
+        const auto lost = update && ++updates < 4 ? fault::request_lost : fault::answer_lost;
+        m_objects.faults.assign(1, update ? lost : fault::none);
+    };
+    const auto result = m_store->publish(burst_change("ours", "small", 101, 1, m_first),
+                                         majority_loss_policy::refuse);
+    EXPECT_EQ(result.after.number(), 2U);
+    EXPECT_EQ(burst("small"), 101);
+}
+
 // Guards against publishing a change a second time, because the search for its operation ends where
 // generation numbers were skipped.
 TEST_F(site_store_test, change_is_found_in_history_before_skipped_generations) {
