Confirm a connection after an error instead of closing it

Cause: after its first error a connection served only reads, and the second error closed it. Where a busy server refuses much, each two refusals cost a connection, whose opening takes an execution slot.

Fix: a connection with an error is confirmed before its next use, and an error of a write that may be an earlier one is confirmed before it is believed. The confirmation is a random sequence of 16 resets and empty transactions. The answer that an accepted repetition leaves behind arrives first and does not match; repeated answers stand in for the sequence with a probability of 1 in 65,536. A write behind SET or PREPARE that is refused is confirmed as well, and no longer in doubt. The first error of a connection is believed as before.

--- a/src/entry/internal/checked_connector.cpp
+++ b/src/entry/internal/checked_connector.cpp
@@ -3,7 +3,10 @@
 #include "entry/internal/checked_connector.h"
 
 #include "sessions/answer_matcher.h"
+#include "sessions/connection_confirmation.h"
 
+#include <algorithm>
+#include <random>
 #include <string>
 #include <string_view>
 
@@ -73,7 +76,30 @@
         return m_channel->broken();
     }
 
-    bool only_for_reads() const override { return m_matcher.only_for_reads(); }
+    bool error_is_certain() const override { return m_matcher.error_is_certain(); }
+
+    bool needs_confirmation() const override { return m_matcher.needs_confirmation(); }
+
+    asio::awaitable<void> confirm(clock::duration limit) override {
+        const auto deadline = steady_clock().now() + limit;
+        const auto pattern = static_cast<std::uint16_t>(std::random_device{}());
+        auto commands = sessions::confirmation_commands(m_matcher.state(), pattern);
+        const auto answers = commands.size();
+        try {
+            co_await send(std::move(commands), limit);
+        } catch (const connection_unusable& unusable) {
+            // Unlike here, the callers of send() may take it that nothing has run.
+            throw unexpected_answer(unusable.what());
+        }
+        for (std::size_t i = 0; i < answers; ++i) {
+            const auto remaining = deadline - steady_clock().now();
+            const auto answer = co_await receive(std::max(remaining, decltype(remaining)::zero()));
+            if (answer.code != sessions::answer_code::ok) {
+                reject(to_string(sessions::answer_mismatch::confirmation_refused));
+            }
+        }
+        m_matcher.confirmed();
+    }
 
     bool has_input() override { return m_channel->has_input(); }
 
--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -61,6 +61,11 @@
                     "the answer to the statement was lost; received the answer to a later command");
             }
             --m_answers_due;
+            if (result.answer.code != answer_code::ok && plan.writes &&
+                !m_connection.channel->error_is_certain()) {
+                co_await m_connection.channel->confirm(remaining());
+                m_connection.session_state = {};
+            }
             result.status = exchange_status::answered;
             m_pool.mark_answered(m_connection, steady_clock().now());
         } catch (const server_timeout&) {
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -31,23 +31,19 @@
 constexpr clock::duration unused_connection_lifetime = 100ms;
 /// Time limit for each answer that is read only to make the connection reusable.
 constexpr clock::duration drain_limit = 2s;
+/// Time limit for confirming a connection after an error, which takes one round trip.
+constexpr clock::duration confirmation_limit = 600ms;
 /// Pause before another connection is opened to a server that has reached its connection limit. The
 /// connections of machines that lost power occupy the server for seconds.
 constexpr clock::duration connection_limit_backoff = 150ms;
 
-bool serves(const pooled_connection& connection, connection_use use) {
-    return use == connection_use::reads || !connection.channel->only_for_reads();
-}
-
 } // namespace
 
 struct server_pool::pool_waiter {
-    pool_waiter(const asio::any_io_executor& executor, account_name for_account,
-                connection_use for_use)
-        : account(std::move(for_account)), use(for_use), timer(executor) {}
+    pool_waiter(const asio::any_io_executor& executor, account_name for_account)
+        : account(std::move(for_account)), timer(executor) {}
 
     account_name account;
-    connection_use use;
     asio::steady_timer timer;
     std::unique_ptr<pooled_connection> connection;
     bool may_open = false;
@@ -70,14 +66,14 @@
 
 asio::awaitable<pool_grant> server_pool::acquire(account_name account,
                                                  const sessions::session_values& values,
-                                                 clock::time_point deadline, connection_use use) {
+                                                 clock::time_point deadline) {
     const auto self = shared_from_this();
     const auto now = steady_clock().now();
     if (m_failing_since && now >= m_retry_at) {
         // Only this statement probes the failed server; others wait for the next interval.
         m_retry_at = now + retry_interval;
     }
-    if (auto connection = take_idle(account, values, use)) {
+    if (auto connection = take_idle(account, values)) {
         pool_grant grant;
         grant.connection = std::move(connection);
         co_return grant;
@@ -87,11 +83,13 @@
         grant.refusal = answer_code::connection_limit;
         co_return grant;
     }
-    if (make_room()) {
+    // Waiting for a connection that is being confirmed takes one round trip, opening another one
+    // also takes an execution slot.
+    if (!m_confirming.contains(account) && make_room()) {
         ++m_open_connections;
         co_return co_await open(std::move(account));
     }
-    co_return co_await wait(std::move(account), deadline, use);
+    co_return co_await wait(std::move(account), deadline);
 }
 
 void server_pool::release(std::unique_ptr<pooled_connection> connection) {
@@ -99,6 +97,10 @@
         discard(std::move(connection));
         return;
     }
+    if (connection->channel->needs_confirmation()) {
+        release_after_confirmation(std::move(connection));
+        return;
+    }
     if (m_waiters.empty()) {
         connection->idle_since = steady_clock().now();
         m_idle.push_front(std::move(connection));
@@ -106,7 +108,7 @@
     }
     const auto same =
         std::find_if(m_waiters.begin(), m_waiters.end(), [&connection](const auto& waiter) {
-            return waiter->account == connection->account && serves(*connection, waiter->use);
+            return waiter->account == connection->account;
         });
     // Prefer the first waiter for the same account, even if others wait longer: reusing the
     // connection avoids opening one, which takes one of the server's execution slots.
@@ -153,6 +155,34 @@
                    asio::detached);
 }
 
+void server_pool::release_after_confirmation(std::unique_ptr<pooled_connection> connection) {
+    auto confirm = [](std::shared_ptr<server_pool> self,
+                      std::unique_ptr<pooled_connection> held) -> asio::awaitable<void> {
+        self->mark_waiting(*held, steady_clock().now());
+        bool confirmed = false;
+        try {
+            co_await held->channel->confirm(confirmation_limit);
+            held->session_state = {};
+            self->mark_answered(*held, steady_clock().now());
+            confirmed = true;
+        } catch (const server_timeout&) {
+            self->mark_timed_out(*held, steady_clock().now());
+        } catch (const unexpected_answer&) {
+            // It does not show that the server is failing.
+        } catch (const server_unreachable&) {
+            self->mark_failed(steady_clock().now());
+        }
+        self->m_confirming.erase(self->m_confirming.find(held->account));
+        if (confirmed) {
+            self->release(std::move(held));
+        } else {
+            self->discard(std::move(held));
+        }
+    };
+    m_confirming.insert(connection->account);
+    asio::co_spawn(m_executor, confirm(shared_from_this(), std::move(connection)), asio::detached);
+}
+
 void server_pool::mark_waiting(pooled_connection& connection, clock::time_point now) {
     if (!connection.waiting) {
         connection.waiting_since = m_unanswered_since.insert(now);
@@ -248,13 +278,12 @@
 }
 
 std::unique_ptr<pooled_connection> server_pool::take_idle(const account_name& account,
-                                                          const sessions::session_values& values,
-                                                          connection_use use) {
+                                                          const sessions::session_values& values) {
     while (true) {
         auto best = m_idle.end();
         int best_distance = 0;
         for (auto at = m_idle.begin(); at != m_idle.end(); ++at) {
-            if ((*at)->account != account || !serves(**at, use)) {
+            if ((*at)->account != account) {
                 continue;
             }
             const int distance = (*at)->session_state.distance(values);
@@ -321,9 +350,8 @@
     co_return grant;
 }
 
-asio::awaitable<pool_grant> server_pool::wait(account_name account, clock::time_point deadline,
-                                              connection_use use) {
-    const auto own = std::make_shared<pool_waiter>(m_executor, account, use);
+asio::awaitable<pool_grant> server_pool::wait(account_name account, clock::time_point deadline) {
+    const auto own = std::make_shared<pool_waiter>(m_executor, account);
     m_waiters.push_back(own);
     own->timer.expires_at(deadline);
     boost::system::error_code ignored;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -30,9 +30,6 @@
     clock::time_point idle_since{};
 };
 
-/// What a connection is acquired for.
-enum class connection_use { reads, reads_and_writes };
-
 /// A connection from the pool, or the reason why there is none.
 struct pool_grant {
     std::unique_ptr<pooled_connection> connection;
@@ -64,11 +61,11 @@
     /// Waits until `deadline` at most.
     [[nodiscard]] boost::asio::awaitable<pool_grant> acquire(account_name account,
                                                              const sessions::session_values& values,
-                                                             clock::time_point deadline,
-                                                             connection_use use);
+                                                             clock::time_point deadline);
 
-    /// Returns a connection to the pool, which closes it if no other statement may use it.
-    /// Precondition: no open transaction and no pending answer.
+    /// Returns a connection to the pool, which closes it if no other statement may use it. A
+    /// connection with an error is confirmed in the background first. Precondition: no open
+    /// transaction and no pending answer.
     void release(std::unique_ptr<pooled_connection> connection);
 
     /// Closes a connection whose state is unknown.
@@ -115,12 +112,13 @@
     struct pool_waiter;
 
     [[nodiscard]] std::unique_ptr<pooled_connection>
-    take_idle(const account_name& account, const sessions::session_values& values,
-              connection_use use);
+    take_idle(const account_name& account, const sessions::session_values& values);
     [[nodiscard]] bool make_room();
     [[nodiscard]] boost::asio::awaitable<pool_grant> open(account_name account);
-    [[nodiscard]] boost::asio::awaitable<pool_grant>
-    wait(account_name account, clock::time_point deadline, connection_use use);
+    [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
+                                                          clock::time_point deadline);
+    /// Confirms the connection in the background, then returns it to the pool or closes it.
+    void release_after_confirmation(std::unique_ptr<pooled_connection> connection);
     void close_connection(pooled_connection& connection);
     /// Closes the idle connections that have not been used since `time`.
     void close_idle_since(clock::time_point time);
@@ -132,6 +130,7 @@
     int m_limit = 1;
     int m_open_connections = 0; ///< connections that are open or being opened
     std::list<std::unique_ptr<pooled_connection>> m_idle; ///< most recently used first
+    std::multiset<account_name> m_confirming; ///< accounts of connections that are being confirmed
     std::deque<std::shared_ptr<pool_waiter>> m_waiters;
     std::multiset<clock::time_point> m_unanswered_since;
     std::optional<clock::time_point> m_last_answer;
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -134,8 +134,8 @@
     co_return true;
 }
 
-asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool, connection_use use) {
-    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline(), use);
+asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool) {
+    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline());
     co_return grant;
 }
 
@@ -167,12 +167,10 @@
                            std::unique_ptr<open_transaction>* transaction) {
     m_tried_servers.insert(pool->server().id);
     const bool begins = transaction != nullptr;
-    auto grant =
-        co_await acquire(pool, begins ? connection_use::reads_and_writes : connection_use::reads);
+    auto grant = co_await acquire(pool);
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, required);
     }
-    const bool error_may_be_repeated = grant.connection->channel->only_for_reads();
     const auto now = steady_clock().now();
     const bool may_use_another_server = required && !begins;
     auto limit = m_budget.deadline() - now;
@@ -180,7 +178,9 @@
         limit = std::min(limit, read_attempt_timeout);
     }
     auto result = co_await exchange(*pool, *grant.connection, plan_for(required, begins), limit);
-    if (error_may_be_repeated && result.answer.code != answer_code::ok) {
+    // An error that may be an earlier one does not say that this read fails at each attempt.
+    if (result.status == exchange_status::answered && result.answer.code != answer_code::ok &&
+        !may_retry(result.answer.code) && !grant.connection->channel->error_is_certain()) {
         result.answer.code = answer_code::aborted;
     }
     if (!required && answered_without_lease(*pool, result)) {
@@ -234,7 +234,7 @@
 
 asio::awaitable<run_outcome>
 statement_router::try_primary(pool_ptr pool, std::unique_ptr<open_transaction>* transaction) {
-    auto grant = co_await acquire(pool, connection_use::reads_and_writes);
+    auto grant = co_await acquire(pool);
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, std::nullopt);
     }
--- a/src/entry/internal/statement_router.h
+++ b/src/entry/internal/statement_router.h
@@ -45,8 +45,7 @@
 
     [[nodiscard]] boost::asio::awaitable<bool> pause() { return wait_for_primary(); }
 
-    [[nodiscard]] boost::asio::awaitable<pool_grant> acquire(const pool_ptr& pool,
-                                                             connection_use use);
+    [[nodiscard]] boost::asio::awaitable<pool_grant> acquire(const pool_ptr& pool);
 
     [[nodiscard]] exchange_plan plan_for(const std::optional<machines::log_position>& required,
                                          bool begins) const;
--- a/src/entry/server_channel.h
+++ b/src/entry/server_channel.h
@@ -77,8 +77,19 @@
     /// has closed it or sent unsolicited data. Precondition: all commands have been answered.
     [[nodiscard]] virtual bool broken() = 0;
 
-    /// Returns whether only reads may still use the connection.
-    [[nodiscard]] virtual bool only_for_reads() const = 0;
+    /// Returns whether the last error can only be that of its command, and not an earlier answer
+    /// that the server has repeated.
+    [[nodiscard]] virtual bool error_is_certain() const = 0;
+
+    /// Returns whether an error was received since the connection was opened or confirmed, so that
+    /// it must be confirmed before its next use.
+    [[nodiscard]] virtual bool needs_confirmation() const = 0;
+
+    /// Checks that no answer to an earlier command is outstanding, and so that the last error was
+    /// its command's own. Rolls back an open transaction, and drops the session values and prepared
+    /// statements. Throws server_unreachable, after which the connection cannot be used any more.
+    /// Precondition: all commands have been answered.
+    [[nodiscard]] virtual boost::asio::awaitable<void> confirm(clock::duration limit) = 0;
 
     /// Returns whether received data are waiting to be read.
     [[nodiscard]] virtual bool has_input() = 0;
--- a/src/sessions/answer_matcher.h
+++ b/src/sessions/answer_matcher.h
@@ -19,8 +19,10 @@
 /// - Each success of a caller's statement has a signature that no other statement's success has.
 /// - All other successes have none, so one that takes the place of another is noticed at the next
 ///   signed answer at the latest.
-/// - An error has neither. After its first error the connection serves only reads, and after the
-///   second nothing more, so the error of a write is never the repetition of an earlier one.
+/// - An error has neither. It is certain if no answer before it can be mistaken for it, and is
+///   confirmed otherwise: the answers to the commands of connection_confirmation.h then arrive
+///   next. After any error the connection has to be confirmed before its next use, as the error may
+///   have left its own command's answer behind.
 ///
 /// Not thread-safe; owned by the connection.
 class answer_matcher {
@@ -39,13 +41,21 @@
     [[nodiscard]] std::string due_id() const { return m_due.empty() ? std::string() : m_due[0].id; }
 
     /// Whether the connection must not be used for another statement or transaction: it has
-    /// received two errors, or one that may not be the last command's, an answer that did not
-    /// match, or as many signatures as are remembered.
+    /// received an answer that did not match, or as many signatures as are remembered.
     [[nodiscard]] bool used_up() const noexcept;
 
-    /// Whether only reads may still use the connection. An error that a read receives on it may be
-    /// the repetition of an earlier one, so the read has to be tried on another connection.
-    [[nodiscard]] bool only_for_reads() const noexcept { return m_errors > 0; }
+    /// Whether the last error can only be that of its command.
+    [[nodiscard]] bool error_is_certain() const noexcept { return m_error_is_certain; }
+
+    /// Whether an error was received since the connection was opened or confirmed.
+    [[nodiscard]] bool needs_confirmation() const noexcept { return m_needs_confirmation; }
+
+    /// Records that the confirmation's commands were answered without an error. Precondition: no
+    /// answer is due.
+    void confirmed() noexcept;
+
+    /// The transaction state after the last answer.
+    [[nodiscard]] transaction_state state() const noexcept { return m_state; }
 
 private:
     /// What the checks need to know of a command.
@@ -75,7 +85,9 @@
     bool m_may_be_shifted = false;
     /// The same for a command that prepares the connection, whose error may come in its place.
     bool m_preparation_may_be_shifted = false;
-    int m_errors = 0;
+    bool m_has_error = false;
+    bool m_error_is_certain = false;
+    bool m_needs_confirmation = false;
     bool m_has_mismatch = false;
 };
 
--- a/src/sessions/internal/answer_matcher.cpp
+++ b/src/sessions/internal/answer_matcher.cpp
@@ -10,10 +10,6 @@
 /// to 8 KB, and opening one in its place is spread over as many statements.
 constexpr std::size_t max_signatures = 1024;
 
-/// A second error may be the repetition of the first one, and leave its own command's answer
-/// behind.
-constexpr int max_errors = 1;
-
 /// Length to which statement ids, which come from callers, are cut for the log.
 constexpr std::size_t max_id_length = 64;
 
@@ -49,8 +45,8 @@
         return "rows_unexpected";
     case answer_mismatch::state_impossible:
         return "state_impossible";
-    case answer_mismatch::error_uncertain:
-        return "error_uncertain";
+    case answer_mismatch::confirmation_refused:
+        return "confirmation_refused";
     }
     return "unknown";
 }
@@ -66,7 +62,13 @@
         mismatch = answer_mismatch::no_command_due;
     } else if (answer.code != answer_code::ok) {
         mismatch = check_error(m_due.front(), answer);
-        m_errors += m_may_be_shifted ? max_errors + 1 : 1;
+        // Outside a transaction a write runs although a command before it was refused. In one, the
+        // refusal fails the transaction.
+        const bool may_be_earlier =
+            m_state == transaction_state::none && m_preparation_may_be_shifted;
+        m_error_is_certain = !m_has_error && !may_be_earlier;
+        m_has_error = true;
+        m_needs_confirmation = true;
     } else if (is_callers_statement(m_due.front().kind)) {
         mismatch = check_signed(m_due.front(), answer);
     } else {
@@ -82,7 +84,13 @@
 }
 
 bool answer_matcher::used_up() const noexcept {
-    return m_errors > max_errors || m_has_mismatch || m_signatures.size() >= max_signatures;
+    return m_has_mismatch || m_signatures.size() >= max_signatures;
+}
+
+void answer_matcher::confirmed() noexcept {
+    m_may_be_shifted = false;
+    m_preparation_may_be_shifted = false;
+    m_needs_confirmation = false;
 }
 
 std::optional<answer_mismatch> answer_matcher::check_error(const due_command& command,
@@ -97,12 +105,6 @@
     if (answer.state == transaction_state::none && may_open && !may_end) {
         return answer_mismatch::state_impossible;
     }
-    // Outside a transaction a write runs although a command before it was refused. In one, the
-    // refusal fails the transaction.
-    if (command.changes_data && m_state == transaction_state::none &&
-        m_preparation_may_be_shifted) {
-        return answer_mismatch::error_uncertain;
-    }
     return std::nullopt;
 }
 
--- a/src/sessions/types/answer_mismatch.h
+++ b/src/sessions/types/answer_mismatch.h
@@ -12,7 +12,7 @@
     signature_repeated,   ///< an earlier answer on the connection had the signature
     rows_unexpected,      ///< the command returns no rows
     state_impossible,     ///< the command does not lead to the answer's transaction state
-    error_uncertain       ///< the error may be that of a command before the statement
+    confirmation_refused  ///< the connection's confirmation got an error
 };
 
 [[nodiscard]] std::string_view to_string(answer_mismatch mismatch) noexcept;
