Let a confirmation delay no more than it must

Found by a review of the confirmation, by reading: requests of an account waited in turn for the one connection that was being confirmed although the server had room for more; the connection of another account that was released meanwhile was closed; an answer that was confirmed too late counted as silence of the server, which is evidence for a promotion; and a read whose error is no promise was tried again until its time ran out on each connection that had had an error.

Fix: one request waits for each confirmation, the others open a connection. Below its limit the pool keeps connections of other accounts. The server counts as having answered before the confirmation, whose time limit is 250 ms. Errors of reads are confirmed like those of writes unless they are promises. In a transaction only the errors of its first write and of its commit are confirmed, as the others end it in any case. The sequence comes from random_source.

--- a/src/entry/internal/checked_connector.cpp
+++ b/src/entry/internal/checked_connector.cpp
@@ -6,7 +6,6 @@
 #include "sessions/connection_confirmation.h"
 
 #include <algorithm>
-#include <random>
 #include <string>
 #include <string_view>
 
@@ -19,8 +18,11 @@
 class checked_channel final : public server_channel {
 public:
     checked_channel(std::shared_ptr<server_channel> channel, decision_log& log,
-                    metric& unexpected_answers)
-        : m_channel(std::move(channel)), m_log(log), m_unexpected_answers(unexpected_answers) {}
+                    metric& unexpected_answers, random_source& random)
+        : m_channel(std::move(channel)),
+          m_log(log),
+          m_unexpected_answers(unexpected_answers),
+          m_random(random) {}
 
     asio::awaitable<server_answer> open(connection_request request,
                                         clock::duration limit) override {
@@ -82,7 +84,7 @@
 
     asio::awaitable<void> confirm(clock::duration limit) override {
         const auto deadline = steady_clock().now() + limit;
-        const auto pattern = static_cast<std::uint16_t>(std::random_device{}());
+        const auto pattern = static_cast<std::uint16_t>(m_random.next());
         auto commands = sessions::confirmation_commands(m_matcher.state(), pattern);
         const auto answers = commands.size();
         try {
@@ -141,6 +143,7 @@
     std::shared_ptr<server_channel> m_channel;
     decision_log& m_log;
     metric& m_unexpected_answers;
+    random_source& m_random;
     sessions::answer_matcher m_matcher;
     server_name m_server;
     account_name m_account;
@@ -157,7 +160,7 @@
 
 std::shared_ptr<server_channel> checked_connector::make_channel(asio::any_io_executor executor) {
     return std::make_shared<checked_channel>(m_connector.make_channel(std::move(executor)), m_log,
-                                             m_unexpected_answers);
+                                             m_unexpected_answers, *m_random);
 }
 
 } // namespace oriole::entry
--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -61,10 +61,8 @@
                     "the answer to the statement was lost; received the answer to a later command");
             }
             --m_answers_due;
-            if (result.answer.code != answer_code::ok && plan.writes &&
-                !m_connection.channel->error_is_certain()) {
-                co_await m_connection.channel->confirm(remaining());
-                m_connection.session_state = {};
+            if (needs_confirmation(plan, result.answer)) {
+                co_await confirm();
             }
             result.status = exchange_status::answered;
             m_pool.mark_answered(m_connection, steady_clock().now());
@@ -98,6 +96,37 @@
         return commands;
     }
 
+    /// Whether it matters for the outcome that the answer may be an earlier error.
+    [[nodiscard]] bool needs_confirmation(const exchange_plan& plan,
+                                          const sessions::server_answer& answer) const {
+        if (answer.code == answer_code::ok || m_connection.channel->error_is_certain()) {
+            return false;
+        }
+        if (!plan.writes) {
+            // Refusing a read that ran breaks no promise.
+            return !guarantees_no_changes(answer.code);
+        }
+        // A failed transaction is rolled back unless this is its commit, or the write ran without
+        // its begin.
+        return answer.state == sessions::transaction_state::none || plan.transaction_begin ||
+               plan.statement.ends_transaction;
+    }
+
+    [[nodiscard]] asio::awaitable<void> confirm() {
+        m_pool.mark_answered(m_connection, steady_clock().now());
+        while (m_answers_due > 0) {
+            static_cast<void>(co_await m_connection.channel->receive(remaining()));
+            --m_answers_due;
+        }
+        try {
+            co_await m_connection.channel->confirm(std::min(remaining(), confirmation_limit));
+        } catch (const server_timeout& timeout) {
+            // The server has answered the statement, so it does not count as silent.
+            throw unexpected_answer(timeout.what());
+        }
+        m_connection.session_state = {};
+    }
+
     void end_without_answer(exchange_result& result, exchange_status if_sent,
                             answer_code code) const {
         result.status = m_statement_sent ? if_sent : exchange_status::not_run;
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -31,8 +31,6 @@
 constexpr clock::duration unused_connection_lifetime = 100ms;
 /// Time limit for each answer that is read only to make the connection reusable.
 constexpr clock::duration drain_limit = 2s;
-/// Time limit for confirming a connection after an error, which takes one round trip.
-constexpr clock::duration confirmation_limit = 600ms;
 /// Pause before another connection is opened to a server that has reached its connection limit. The
 /// connections of machines that lost power occupy the server for seconds.
 constexpr clock::duration connection_limit_backoff = 150ms;
@@ -85,7 +83,7 @@
     }
     // Waiting for a connection that is being confirmed takes one round trip, opening another one
     // also takes an execution slot.
-    if (!m_confirming.contains(account) && make_room()) {
+    if (!confirmation_is_awaitable(account) && make_room()) {
         ++m_open_connections;
         co_return co_await open(std::move(account));
     }
@@ -97,29 +95,30 @@
         discard(std::move(connection));
         return;
     }
+    const auto same =
+        std::find_if(m_waiters.begin(), m_waiters.end(), [&connection](const auto& waiter) {
+            return waiter->account == connection->account;
+        });
+    // Below the limit, those who wait do so for a connection that is being confirmed.
+    if (same == m_waiters.end() && !m_waiters.empty() && m_open_connections == m_limit) {
+        discard(std::move(connection));
+        return;
+    }
     if (connection->channel->needs_confirmation()) {
         release_after_confirmation(std::move(connection));
         return;
     }
-    if (m_waiters.empty()) {
+    if (same == m_waiters.end()) {
         connection->idle_since = steady_clock().now();
         m_idle.push_front(std::move(connection));
         return;
     }
-    const auto same =
-        std::find_if(m_waiters.begin(), m_waiters.end(), [&connection](const auto& waiter) {
-            return waiter->account == connection->account;
-        });
     // Prefer the first waiter for the same account, even if others wait longer: reusing the
     // connection avoids opening one, which takes one of the server's execution slots.
-    if (same != m_waiters.end()) {
-        const auto waiter = *same;
-        m_waiters.erase(same);
-        waiter->connection = std::move(connection);
-        waiter->timer.cancel();
-        return;
-    }
-    discard(std::move(connection));
+    const auto waiter = *same;
+    m_waiters.erase(same);
+    waiter->connection = std::move(connection);
+    waiter->timer.cancel();
 }
 
 void server_pool::discard(std::unique_ptr<pooled_connection> connection) {
@@ -167,10 +166,9 @@
             confirmed = true;
         } catch (const server_timeout&) {
             self->mark_timed_out(*held, steady_clock().now());
-        } catch (const unexpected_answer&) {
-            // It does not show that the server is failing.
         } catch (const server_unreachable&) {
-            self->mark_failed(steady_clock().now());
+            // An answer that does not match does not show that the server is failing, nor does the
+            // end of an unused connection.
         }
         self->m_confirming.erase(self->m_confirming.find(held->account));
         if (confirmed) {
@@ -246,6 +244,9 @@
 }
 
 bool server_pool::available(const account_name& account) const {
+    if (confirmation_is_awaitable(account)) {
+        return false;
+    }
     if (m_open_connections < m_limit) {
         return m_no_new_connections_until <= steady_clock().now();
     }
@@ -317,6 +318,13 @@
     return m_open_connections < m_limit;
 }
 
+bool server_pool::confirmation_is_awaitable(const account_name& account) const {
+    const auto awaited =
+        std::count_if(m_waiters.begin(), m_waiters.end(),
+                      [&account](const auto& waiter) { return waiter->account == account; });
+    return static_cast<std::ptrdiff_t>(m_confirming.count(account)) > awaited;
+}
+
 asio::awaitable<pool_grant> server_pool::open(account_name account) {
     pool_grant grant;
     grant.opened = true;
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -20,6 +20,9 @@
 
 namespace oriole::entry {
 
+/// Time limit for confirming a connection after an error, which takes one round trip.
+constexpr clock::duration confirmation_limit = std::chrono::milliseconds(250);
+
 /// A connection to a server, with the session state that it holds.
 struct pooled_connection {
     std::shared_ptr<server_channel> channel;
@@ -114,6 +117,8 @@
     [[nodiscard]] std::unique_ptr<pooled_connection>
     take_idle(const account_name& account, const sessions::session_values& values);
     [[nodiscard]] bool make_room();
+    /// Whether a connection for the account is being confirmed that no other request waits for.
+    [[nodiscard]] bool confirmation_is_awaitable(const account_name& account) const;
     [[nodiscard]] boost::asio::awaitable<pool_grant> open(account_name account);
     [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
                                                           clock::time_point deadline);
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -178,11 +178,6 @@
         limit = std::min(limit, read_attempt_timeout);
     }
     auto result = co_await exchange(*pool, *grant.connection, plan_for(required, begins), limit);
-    // An error that may be an earlier one does not say that this read fails at each attempt.
-    if (result.status == exchange_status::answered && result.answer.code != answer_code::ok &&
-        !may_retry(result.answer.code) && !grant.connection->channel->error_is_certain()) {
-        result.answer.code = answer_code::aborted;
-    }
     if (!required && answered_without_lease(*pool, result)) {
         pool->discard(std::move(grant.connection));
         co_return with_server(refusal(answer_code::aborted), *pool, required);
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -90,6 +90,27 @@
                              [kind](const auto& command) { return command.kind == kind; });
     }
 
+    /// Makes the pool of a server with this number of connections, one of which is being confirmed
+    /// until the coroutines run again.
+    std::shared_ptr<server_pool> pool_with_a_confirmation(int limit) {
+        m_primary.busy_statements = 1;
+        const auto pool = std::make_shared<server_pool>(m_io.get_executor(), m_connector,
+                                                        fake_listed("primary", "far"));
+        pool->set_limit(limit);
+        auto held = acquire(*pool, "t");
+        exchange_plan plan;
+        plan.statement.text = "READ a";
+        static_cast<void>(run_coroutine(m_io, exchange(*pool, *held.connection, plan, 100ms)));
+        m_primary.answer_delay = 5ms;
+        pool->release(std::move(held.connection));
+        return pool;
+    }
+
+    pool_grant acquire(server_pool& pool, const std::string& account) {
+        return run_coroutine(m_io,
+                             pool.acquire(account_name(account), {}, steady_clock().now() + 1s));
+    }
+
     std::int64_t unexpected_answers() {
         return m_metrics.get("oriole_unexpected_answers_total").value();
     }
@@ -205,6 +226,26 @@
     EXPECT_EQ(m_primary.connections, 0);
 }
 
+// Guards against a caller that is told to try again although its read always fails.
+TEST_F(checked_connector_test, repeated_failure_of_a_read_is_confirmed) {
+    m_primary.fails_statements = true;
+    EXPECT_EQ(run("READ a").code, answer_code::failed);
+    EXPECT_EQ(run("READ a").code, answer_code::failed);
+    EXPECT_EQ(m_primary.opened, 1);
+    EXPECT_EQ(unexpected_answers(), 0);
+}
+
+// Guards against a server that counts as silent although it has answered the statement.
+TEST_F(checked_connector_test, confirmation_without_an_answer_does_not_count_against_the_server) {
+    ASSERT_EQ(run("READ a").code, answer_code::ok);
+    m_primary.fails_statements = true;
+    ASSERT_EQ(run("WRITE a b").code, answer_code::failed);
+    m_primary.no_answer_to = command_kind::reset;
+    EXPECT_EQ(run("WRITE a b").code, answer_code::in_doubt);
+    EXPECT_FALSE(m_service.primary()->evidence(steady_clock().now()).failing_since);
+    EXPECT_EQ(m_primary.connections, 0);
+}
+
 // Guards against a connection that returns to the pool after the answers to a read that was given
 // up were another statement's.
 TEST_F(checked_connector_test, connection_is_closed_when_a_late_answer_does_not_match) {
@@ -240,6 +281,43 @@
     EXPECT_EQ(m_primary.received.back().kind, command_kind::reset);
 }
 
+// Guards against requests that wait in turn for one connection although the server has room for
+// more.
+TEST_F(checked_connector_test, second_request_does_not_wait_for_the_same_confirmation) {
+    const auto pool = pool_with_a_confirmation(2);
+    EXPECT_FALSE(pool->available(account_name("t")));
+    pool_grant first;
+    boost::asio::co_spawn(
+        m_io, pool->acquire(account_name("t"), {}, steady_clock().now() + 1s),
+        [&first](const std::exception_ptr&, pool_grant grant) { first = std::move(grant); });
+    auto second = acquire(*pool, "t");
+    EXPECT_TRUE(first.connection);
+    EXPECT_FALSE(first.opened);
+    EXPECT_TRUE(second.connection);
+    EXPECT_TRUE(second.opened);
+}
+
+// Guards against closing a connection of another account that the pool has room for.
+TEST_F(checked_connector_test, connection_is_kept_while_others_wait_for_a_confirmation) {
+    const auto pool = std::make_shared<server_pool>(m_io.get_executor(), m_connector,
+                                                    fake_listed("primary", "far"));
+    pool->set_limit(3);
+    auto other = acquire(*pool, "other");
+    auto held = acquire(*pool, "t");
+    m_primary.busy_statements = 1;
+    exchange_plan plan;
+    plan.statement.text = "READ a";
+    static_cast<void>(run_coroutine(m_io, exchange(*pool, *held.connection, plan, 100ms)));
+    m_primary.answer_delay = 5ms;
+    pool->release(std::move(held.connection));
+    boost::asio::steady_timer timer(m_io, 5ms);
+    timer.async_wait(
+        [&](const boost::system::error_code&) { pool->release(std::move(other.connection)); });
+    EXPECT_TRUE(acquire(*pool, "t").connection);
+    EXPECT_EQ(m_primary.opened, 2);
+    EXPECT_EQ(m_primary.connections, 2);
+}
+
 // Guards against a read that gets the repetition of another read's error, and against a later read
 // that gets the answer which was still due.
 TEST_F(checked_connector_test, read_that_gets_an_earlier_error_runs_at_another_server) {
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -28,7 +28,8 @@
     std::optional<sessions::command_kind> no_answer_to; ///< this kind of command is never answered
     /// The answer to this kind of command is lost, but later answers arrive.
     std::optional<sessions::command_kind> loses_answer_to;
-    int busy_statements = 0; ///< the next callers' statements are refused as busy
+    int busy_statements = 0;       ///< the next callers' statements are refused as busy
+    bool fails_statements = false; ///< callers' statements fail
     /// The answer to this kind of command arrives a second time, when nothing is due or in place of
     /// the next answer.
     std::optional<sessions::command_kind> repeats_answer_to;
@@ -155,6 +156,8 @@
             if (runs_statement && m_script->busy_statements > 0) {
                 --m_script->busy_statements;
                 answer.code = answer_code::busy;
+            } else if (runs_statement && m_script->fails_statements) {
+                answer.code = answer_code::failed;
             }
             if (runs_statement && answer.code == answer_code::ok) {
                 ++m_script->statements;
--- a/src/sessions/tests/answer_matcher_test.cpp
+++ b/src/sessions/tests/answer_matcher_test.cpp
@@ -215,7 +215,7 @@
 /// Which answers a server repeats.
 enum class repetition {
     single,  ///< any answer, at any later time and in any state
-    sequence ///< all answers from any earlier one on, in sequence
+    sequence ///< all answers from an earlier error on, or any other answer, in sequence
 };
 
 /// A server that answers each command once, or a second time. It refuses any kind of command now
@@ -258,8 +258,12 @@
 private:
     [[nodiscard]] message receive_in_sequence() {
         if (!m_in_sequence && !m_repeats.empty() && below(16) == 0) {
-            m_repeats.erase(m_repeats.begin(),
-                            m_repeats.begin() + below(static_cast<int>(m_repeats.size())));
+            const auto start = m_repeats.begin() + below(static_cast<int>(m_repeats.size()));
+            const auto is_error = [](const message& repeat) {
+                return repeat.answer.code != answer_code::ok;
+            };
+            const auto error = std::find_if(start, m_repeats.end(), is_error);
+            m_repeats.erase(m_repeats.begin(), error == m_repeats.end() ? start : error);
             m_in_sequence = true;
         }
         if (m_in_sequence) {
--- a/src/site/internal/versioned_site_store.cpp
+++ b/src/site/internal/versioned_site_store.cpp
@@ -87,11 +87,12 @@
         }
         if (conflicts == max_conflicts) {
             throw publish_contention("other writers published before this change " +
-                                     std::to_string(conflicts) + " times in a row; try again");
+                                     std::to_string(conflicts) + " times; try again");
         }
         if (lost_replies == max_lost_replies) {
             throw store_unreachable("the store did not reply to " + std::to_string(lost_replies) +
-                                    " updates of the published configuration; try again");
+                                    " updates of the published configuration; the last may still "
+                                    "take effect, check the history before trying again");
         }
         const auto attempt = try_publish(change, policy, current);
         if (attempt.result) {
