Leave a first write in doubt when its connection breaks

The server's answer to an earlier begin is repeated and taken for that to the new one, which the server refuses; the write then runs by itself, and the connection breaks.

Cause: such a write was in doubt only if an answer could not be attributed. Without any further answer it counted as not committed, since its transaction was open by all that was known.

Fix: the first write of a transaction that was sent and has no answer is in doubt. Callers retry a transaction whose commit they have not sent in either case.

Evidence: first_write_on_a_broken_connection_is_in_doubt fails without it: the write is sent a second time.

--- a/src/entry/internal/server_exchange.cpp
+++ b/src/entry/internal/server_exchange.cpp
@@ -74,7 +74,6 @@
             end_without_answer(result, exchange_status::connection_lost, answer_code::aborted);
         } catch (const unexpected_answer&) {
             // It does not show that the server is failing.
-            result.unexpected_answer = true;
             end_without_answer(result, exchange_status::connection_lost, answer_code::aborted);
         } catch (const server_unreachable&) {
             m_pool.mark_failed(steady_clock().now());
--- a/src/entry/internal/server_exchange.h
+++ b/src/entry/internal/server_exchange.h
@@ -25,7 +25,6 @@
     exchange_status status = exchange_status::not_run;
     sessions::server_answer answer; ///< answer to the statement, or to the command that was refused
     clock::time_point asked{};      ///< boot clock's time before anything was sent
-    bool unexpected_answer = false; ///< an answer was received that cannot be attributed
     int answers_due = 0;            ///< answers that the server has yet to send on the connection
 
     friend bool operator==(const exchange_result&, const exchange_result&) = default;
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -275,9 +275,9 @@
     } else {
         // Closing the connection rolls back the transaction that is open on it.
         pool->discard(std::move(connection));
-        // Without an answer of its own to the begin, a write may have run outside the transaction.
-        const bool mismatch = succeeded || result.unexpected_answer;
-        const bool may_be_committed = commits_now || (mismatch && m_run.decision.writes);
+        // The answer to the begin may have been the repetition of an earlier one, and the write may
+        // have run outside the transaction.
+        const bool may_be_committed = commits_now || m_run.decision.writes;
         const auto status = succeeded ? exchange_status::connection_lost : result.status;
         outcome.answer.code = code_after_failure(status, outcome.answer.code, may_be_committed);
     }
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -226,6 +226,19 @@
     EXPECT_EQ(m_primary.connections, 0);
 }
 
+// Guards against a first write that runs a second time, because the connection broke after an
+// earlier begin's answer was taken for its own begin's, and the write ran outside the transaction.
+TEST_F(checked_connector_test, first_write_on_a_broken_connection_is_in_doubt) {
+    m_primary.repeats_answer_to = command_kind::begin;
+    m_primary.repeats_in_place_of = command_kind::begin;
+    ASSERT_EQ(run_first("WRITE a b").code, answer_code::ok);
+    ASSERT_EQ(run_next("COMMIT").code, answer_code::ok);
+    m_primary.breaks_on = command_kind::begin;
+    EXPECT_EQ(run_first("WRITE c d").code, answer_code::in_doubt);
+    EXPECT_EQ(m_primary.received.back().text, "WRITE c d");
+    EXPECT_EQ(m_primary.opened, 1);
+}
+
 // Guards against a caller that is told to try again although its read always fails.
 TEST_F(checked_connector_test, repeated_failure_of_a_read_is_confirmed) {
     m_primary.fails_statements = true;
