--- a/src/links/internal/listening_socket.cpp
+++ b/src/links/internal/listening_socket.cpp
@@ -77,6 +77,17 @@
     }
 }
 
+std::optional<tcp::socket> accept_waiting(tcp::acceptor& acceptor,
+                                          const asio::any_io_executor& executor) {
+    error_code error;
+    tcp::socket socket(executor);
+    acceptor.non_blocking(true, error);
+    if (!error) {
+        acceptor.accept(socket, error);
+    }
+    return error ? std::nullopt : std::optional<tcp::socket>(std::move(socket));
+}
+
 void serve_when_addresses_are_free(const std::function<void()>& serve) {
     for (int attempt = 0;; ++attempt) {
         try {
--- a/src/links/listening_socket.h
+++ b/src/links/listening_socket.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace oriole::links {
@@ -30,6 +31,13 @@
 void listen(boost::asio::ip::tcp::acceptor& acceptor, const endpoint& address,
             std::string_view role);
 
+/// Accepts a connection that a client has established already, without waiting; nullopt without
+/// one. The connection uses `executor`. Closing an acceptor resets the connections that it has not
+/// accepted, with what their clients have sent. Not thread-safe.
+[[nodiscard]] std::optional<boost::asio::ip::tcp::socket>
+accept_waiting(boost::asio::ip::tcp::acceptor& acceptor,
+               const boost::asio::any_io_executor& executor);
+
 /// Calls `serve`, which listens on the process's addresses. When it throws address_in_use, waits
 /// and calls it again. Returns when `serve` returns, or on SIGTERM or SIGINT during the wait. Other
 /// exceptions pass through. Precondition: hold_stop_signals() was called, and `serve` has undone
