Refuse a transaction that a planned stop would roll back

What callers saw: from half of the grace period on, a stop rolls open transactions back every 50 ms, but BEGIN was still answered with success. The next statement was then ABORTED, and the session, in a failed transaction, could not end with an answer; whoever sent ROLLBACK after the process had ended got none.

BEGIN is now refused with BUSY once transactions are rolled back, as a statement is that waits for its rate, and the answer ends the session, so that the client can begin elsewhere at once.

caller_service_test.session_whose_transactions_end_refuses_to_begin_one fails without the refusal (three answers OK instead of one BUSY). entry_test: 144 tests passed.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -182,6 +182,11 @@
     return m_ending && m_session.state() == transaction_state::none && !m_channel->has_input();
 }
 
+void caller_service::end_transactions() {
+    m_refusing_transactions = true;
+    abort_transaction();
+}
+
 void caller_service::abort_transaction() {
     if (m_session.state() != transaction_state::open || m_statement_running) {
         return;
@@ -266,6 +271,11 @@
     if (m_refusing && (needs_server || run.decision.starts_operation)) {
         co_return end_without_result(run, false);
     }
+    const bool begins_transaction =
+        run.decision.starts_operation && run.decision.step == session_step::answer;
+    if (m_refusing_transactions && begins_transaction) {
+        co_return end_without_result(run, false);
+    }
     m_admitted = !run.decision.starts_operation;
     if (run.decision.starts_operation) {
         m_admitted = co_await m_context.admit(m_account);
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -41,8 +41,8 @@
     void end_soon() noexcept { m_ending = true; }
 
     /// Rolls back the open transaction if no statement is running; its next statement is answered
-    /// with aborted.
-    void abort_transaction();
+    /// with aborted. Refuses to begin another, which would be rolled back before its end.
+    void end_transactions();
 
     /// Answers the running statement without its result, and refuses all that would run at a server
     /// from now on. The session ends as after end_soon().
@@ -84,6 +84,8 @@
     /// in it; serve() does so then, once the statement has ended.
     void end_transaction();
     void roll_back();
+    /// Rolls back the open transaction if no statement is running.
+    void abort_transaction();
     void record_outcome(const statement_run& run, const run_outcome& outcome);
 
     traffic_context& m_context;
@@ -99,6 +101,7 @@
     bool m_admitted = false;              ///< whether the awaited statement is within the rate
     bool m_ending = false;   ///< the session ends with an answer after which it is idle
     bool m_refusing = false; ///< nothing more is sent to a server
+    bool m_refusing_transactions = false;
     /// Another coroutine than the one that awaits the outcome of a statement serves the client.
     bool m_served_by_finish = false;
     bool m_finished = false;                 ///< the coroutine of finish() has ended
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -151,7 +151,7 @@
             m_listener->stop();
             listening = false;
             for (const auto& session : sessions) {
-                session->abort_transaction();
+                session->end_transactions();
             }
             m_gateway.abort_transactions();
         }
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -227,6 +227,18 @@
     EXPECT_TRUE(m_caller->ended);
 }
 
+// Guards against a transaction that begins when a stop rolls all of them back: it would keep its
+// session from ending, and its client's next statement would be cut off by the end of the process.
+TEST_F(caller_service_test, session_whose_transactions_end_refuses_to_begin_one) {
+    send({sessions::statement_kind::begin, sessions::statement_kind::read,
+          sessions::statement_kind::rollback});
+    m_session->end_soon();
+    m_session->end_transactions();
+    serve();
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_TRUE(m_caller->ended);
+}
+
 // Guards against a close that meets the next statement of a client that has just been answered.
 TEST_F(caller_service_test, session_is_not_quiet_just_after_an_answer) {
     const auto now = steady_clock().now();
