Answer the HTTP requests that wait to be accepted when draining starts

What callers saw: a request on a connection that the kernel had accepted and the process had not was reset when the HTTP front end closed its listening socket. And one on a connection that was accepted in that moment could be cut off by the end of the process: drain() closes the socket on a traffic thread, later, and a connection was counted only once its own thread knew of it, so the stop could find none open and go on.

The server accepts what waits before it closes the socket, counts a connection as soon as it is accepted, and says until when it accepts; the stop waits for that.

--- a/src/app/internal/graceful_shutdown.cpp
+++ b/src/app/internal/graceful_shutdown.cpp
@@ -24,7 +24,7 @@
     callers.drain();
     const auto start = steady_clock().now();
     bool idle_closed = false;
-    while (callers.open_connections() > 0) {
+    while (callers.accepting() || callers.open_connections() > 0) {
         const auto waited = steady_clock().now() - start;
         if (waited > limits.drain_limit) {
             LOG(WARNING) << "stopping with callers still connected connections="
--- a/src/links/caller_server.h
+++ b/src/links/caller_server.h
@@ -67,6 +67,9 @@
     /// Stops accepting connections; each open connection is closed after its next answer.
     virtual void drain() = 0;
 
+    /// Whether connections are still accepted: from start() until a moment after drain().
+    [[nodiscard]] virtual bool accepting() const = 0;
+
     [[nodiscard]] virtual std::size_t open_connections() const = 0;
 
     /// Requests that have been received and not yet been answered in full.
--- a/src/links/internal/http_caller_server.cpp
+++ b/src/links/internal/http_caller_server.cpp
@@ -15,6 +15,7 @@
 
 #include <glog/logging.h>
 
+#include <atomic>
 #include <list>
 
 namespace oriole::links {
@@ -41,9 +42,14 @@
         return m_worker.executor;
     }
 
-    void add(tcp::socket socket, const std::shared_ptr<caller_server_state>& state) {
-        auto connection =
-            std::make_shared<http_caller_connection>(std::move(socket), *m_worker.handler, state);
+    /// Creates a connection that has yet to be added. May be called on any thread.
+    [[nodiscard]] std::shared_ptr<http_caller_connection>
+    make_connection(tcp::socket socket, std::shared_ptr<caller_server_state> state) const {
+        return std::make_shared<http_caller_connection>(std::move(socket), *m_worker.handler,
+                                                        std::move(state));
+    }
+
+    void add(const std::shared_ptr<http_caller_connection>& connection) {
         m_connections.push_back(connection);
         const auto position = std::prev(m_connections.end());
         const auto self = shared_from_this();
@@ -104,6 +110,7 @@
 
     void start() override {
         listen(m_acceptor, m_address, listen_role);
+        m_accepting = true;
         const auto self = shared_from_this();
         asio::co_spawn(
             m_acceptor.get_executor(), [self] { return self->accept_loop(); }, asio::detached);
@@ -117,12 +124,11 @@
     void drain() override {
         m_state->draining = true;
         const auto self = shared_from_this();
-        asio::post(m_acceptor.get_executor(), [self] {
-            error_code ignored;
-            self->m_acceptor.close(ignored);
-        });
+        asio::post(m_acceptor.get_executor(), [self] { self->stop_accepting(); });
     }
 
+    [[nodiscard]] bool accepting() const override { return m_accepting; }
+
     [[nodiscard]] std::size_t open_connections() const override {
         return m_state->open_connections.load(std::memory_order_relaxed);
     }
@@ -139,10 +145,8 @@
 
 private:
     [[nodiscard]] asio::awaitable<void> accept_loop() {
-        std::size_t next = 0;
         while (m_acceptor.is_open()) {
-            const auto worker = m_workers[next];
-            next = (next + 1) % m_workers.size();
+            const auto worker = next_worker();
             error_code error;
             tcp::socket socket(worker->executor());
             co_await m_acceptor.async_accept(socket,
@@ -153,6 +157,24 @@
             }
             assign_connection(std::move(socket), worker);
         }
+        // Only now is a connection counted that was accepted just before the acceptor was closed.
+        m_accepting = false;
+    }
+
+    void stop_accepting() {
+        auto worker = next_worker();
+        while (auto waiting = accept_waiting(m_acceptor, worker->executor())) {
+            assign_connection(std::move(*waiting), worker);
+            worker = next_worker();
+        }
+        error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    [[nodiscard]] std::shared_ptr<worker_connections> next_worker() {
+        auto worker = m_workers[m_next_worker];
+        m_next_worker = (m_next_worker + 1) % m_workers.size();
+        return worker;
     }
 
     [[nodiscard]] asio::awaitable<void> delay_accept(const error_code& error) {
@@ -174,9 +196,10 @@
         m_accepted.add();
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        // The connection counts as open from here on, before its worker knows of it.
         asio::post(worker->executor(),
-                   [worker, state = m_state, moved = std::move(socket)]() mutable {
-                       worker->add(std::move(moved), state);
+                   [worker, connection = worker->make_connection(std::move(socket), m_state)] {
+                       worker->add(connection);
                    });
     }
 
@@ -184,6 +207,8 @@
     tcp::acceptor m_acceptor;
     std::shared_ptr<caller_server_state> m_state;
     std::vector<std::shared_ptr<worker_connections>> m_workers;
+    std::size_t m_next_worker = 0; ///< used on the acceptor's thread
+    std::atomic<bool> m_accepting{false};
     metric& m_accepted;
     metric& m_rejected;
 };
