Answer the HTTP requests that still run when the drain limit is over

What callers saw: a request whose server had not answered when the drain limit of a planned stop was over lost its connection without an answer. The caller could not tell whether it may repeat it. A service's deadline may be up to an hour and the drain limit is 30 s by default, so this needs no fault of a server.

The callers have 0.3 s to read it. The path of other requests does not change but for a note of the request's kind.

--- a/src/app/internal/graceful_shutdown.cpp
+++ b/src/app/internal/graceful_shutdown.cpp
@@ -14,6 +14,8 @@
 /// Active callers receive an answer with "Connection: close" within this time. Connections that
 /// are still open afterwards are idle.
 constexpr std::chrono::milliseconds idle_grace{2000};
+/// Time after the drain limit for callers to read the answers to requests that were ended.
+constexpr std::chrono::milliseconds last_answers_time{300};
 
 } // namespace
 
@@ -30,6 +32,8 @@
             LOG(WARNING) << "stopping with callers still connected connections="
                          << callers.open_connections()
                          << " requests=" << callers.requests_in_progress();
+            callers.end_requests();
+            co_await sleep_for(last_answers_time);
             co_return;
         }
         if (!idle_closed && waited > idle_grace && open_transactions() == 0) {
--- a/src/app/internal/graceful_shutdown.h
+++ b/src/app/internal/graceful_shutdown.h
@@ -19,8 +19,9 @@
 
 /// Drains caller connections. Accepts new ones for the drain delay, so that the load balancer can
 /// remove the instance first, then stops accepting and waits until all connections have closed or
-/// the drain limit has passed. Idle connections are closed after a grace period, since a caller may
-/// be about to send a request, and not while `open_transactions` returns more than zero.
+/// the drain limit has passed; then it ends the requests that are still running. Idle connections
+/// are closed after a grace period, since a caller may be about to send a request, and not while
+/// `open_transactions` returns more than zero.
 [[nodiscard]] boost::asio::awaitable<void>
 drain_callers(links::caller_server& callers, std::function<std::size_t()> open_transactions,
               shutdown_limits limits);
--- a/src/app/internal/traffic_thread.cpp
+++ b/src/app/internal/traffic_thread.cpp
@@ -3,6 +3,7 @@
 #include "app/internal/traffic_thread.h"
 
 #include "app/internal/sleep_for.h"
+#include "app/internal/unfinished_request.h"
 #include "contracts/contracts_module.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -100,6 +101,10 @@
     co_return co_await forward_to_owner(*m_siblings[owner->thread], std::move(request), identity);
 }
 
+caller_answer traffic_thread::answer_unfinished(const links::unfinished_request& request) {
+    return answer_without_result(request);
+}
+
 asio::awaitable<caller_answer> traffic_thread::handle_locally(links::caller_request request,
                                                               links::caller_identity& identity) {
     caller_answer answer = co_await m_request_handler.handle(std::move(request), identity);
--- a/src/app/internal/traffic_thread.h
+++ b/src/app/internal/traffic_thread.h
@@ -54,6 +54,9 @@
     [[nodiscard]] boost::asio::awaitable<links::caller_answer>
     handle(links::caller_request request, links::caller_identity& identity) override;
 
+    [[nodiscard]] links::caller_answer
+    answer_unfinished(const links::unfinished_request& request) override;
+
     /// Number of open transactions on this thread. Thread-safe.
     [[nodiscard]] std::size_t open_transactions() const { return m_open_transactions.load(); }
 
--- a/src/links/caller_server.h
+++ b/src/links/caller_server.h
@@ -35,6 +35,10 @@
     /// in `identity`.
     [[nodiscard]] virtual boost::asio::awaitable<caller_answer>
     handle(caller_request request, caller_identity& identity) = 0;
+
+    /// Returns the answer to a request that handle() has yet to answer when its connection ends.
+    /// The answer of handle() is then discarded.
+    [[nodiscard]] virtual caller_answer answer_unfinished(const unfinished_request& request) = 0;
 };
 
 /// The executor and request handler of one traffic thread.
@@ -78,6 +82,9 @@
     /// Closes the connections whose identity satisfies `predicate`: immediately when idle,
     /// otherwise after the current answer. `predicate` runs on the traffic threads.
     virtual void close_connections(std::function<bool(const caller_identity&)> predicate) = 0;
+
+    /// Answers the requests in progress without their results, and closes all connections.
+    virtual void end_requests() = 0;
 };
 
 /// Returns a server for callers that use HTTP/1.1 with JSON bodies. Preconditions: `workers` is not
--- a/src/links/internal/http_caller_connection.cpp
+++ b/src/links/internal/http_caller_connection.cpp
@@ -2,12 +2,16 @@
 
 #include "links/internal/http_caller_connection.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace oriole::links {
 namespace {
 
@@ -22,6 +26,12 @@
 /// Time for a caller to close its side after the last answer. A graceful shutdown waits for it.
 constexpr std::chrono::seconds close_timeout{1};
 
+unfinished_request describe(const caller_request& request) {
+    const bool writes = std::any_of(request.statements.begin(), request.statements.end(),
+                                    [](const auto& statement) { return statement.writes(); });
+    return {request.call, writes, request.request_id};
+}
+
 std::optional<caller_answer> refusal_for(const error_code& error) {
     if (error == http::error::header_limit) {
         return refusal(answer_code::headers_too_large, "the headers are larger than 8 KiB");
@@ -60,7 +70,9 @@
     while (more && !m_close_requested) {
         more = co_await serve_next_request();
     }
-    co_await drain_and_close();
+    if (!m_closed_by_finish) {
+        co_await drain_and_close();
+    }
 }
 
 void http_caller_connection::close_when_idle() {
@@ -71,6 +83,27 @@
     }
 }
 
+void http_caller_connection::end_now() {
+    close_when_idle();
+    if (!m_running) {
+        return;
+    }
+    auto answer = m_handler.answer_unfinished(*m_running);
+    m_running.reset();
+    m_closed_by_finish = true;
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this(), moved = std::move(answer)]() mutable {
+            return self->finish(std::move(moved), self->m_running_version);
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> http_caller_connection::finish(caller_answer answer, unsigned version) {
+    static_cast<void>(co_await send(answer, version, false));
+    co_await drain_and_close();
+}
+
 void http_caller_connection::close_if_expired(clock::time_point now) {
     const auto& limits = m_state->limits;
     const bool idle_expired = m_phase == phase::idle && now - m_phase_since > limits.idle_timeout;
@@ -128,8 +161,15 @@
         answer = std::move(*refused);
     } else {
         caller_request request = std::move(std::get<caller_request>(decoded));
+        m_running = describe(request);
+        m_running_version = message.version();
         answer = co_await m_handler.handle(std::move(request), m_identity);
     }
+    if (m_closed_by_finish) {
+        m_state->requests_in_progress.fetch_sub(1, std::memory_order_relaxed);
+        co_return false;
+    }
+    m_running.reset();
     const bool draining = m_state->draining.load(std::memory_order_relaxed);
     const bool keep_alive = message.keep_alive() && !draining && !m_close_requested;
     const bool more = co_await send(answer, message.version(), keep_alive);
--- a/src/links/internal/http_caller_connection.h
+++ b/src/links/internal/http_caller_connection.h
@@ -38,6 +38,9 @@
     /// Closes the connection: immediately when idle, otherwise after the current answer.
     void close_when_idle();
 
+    /// Answers the running request without its result and closes the connection.
+    void end_now();
+
     /// Closes the connection when it has been idle, receiving a request or closing for longer than
     /// allowed.
     void close_if_expired(clock::time_point now);
@@ -47,6 +50,8 @@
 
     [[nodiscard]] boost::asio::awaitable<bool> serve_next_request();
     [[nodiscard]] boost::asio::awaitable<bool> answer_request(const http_request& message);
+    /// Sends the answer of a request that end_now() has ended, and closes the connection.
+    [[nodiscard]] boost::asio::awaitable<void> finish(caller_answer answer, unsigned version);
     [[nodiscard]] boost::asio::awaitable<bool> send(const caller_answer& answer, unsigned version,
                                                     bool keep_alive);
     [[nodiscard]] boost::asio::awaitable<void> drain_and_close();
@@ -63,6 +68,10 @@
     phase m_phase = phase::idle;
     clock::time_point m_phase_since;
     bool m_close_requested = false;
+    std::optional<unfinished_request> m_running; ///< the request whose answer is awaited
+    unsigned m_running_version = 0;              ///< its HTTP version
+    /// Another coroutine than run() sends the last answer and closes the connection.
+    bool m_closed_by_finish = false;
 };
 
 } // namespace oriole::links
--- a/src/links/internal/http_caller_server.cpp
+++ b/src/links/internal/http_caller_server.cpp
@@ -84,6 +84,12 @@
         }
     }
 
+    void end_requests() {
+        for (const auto& connection : m_connections) {
+            connection->end_now();
+        }
+    }
+
     void stop() { m_timer.cancel(); }
 
 private:
@@ -143,6 +149,12 @@
         }
     }
 
+    void end_requests() override {
+        for (const auto& worker : m_workers) {
+            asio::post(worker->executor(), [worker] { worker->end_requests(); });
+        }
+    }
+
 private:
     [[nodiscard]] asio::awaitable<void> accept_loop() {
         while (m_acceptor.is_open()) {
--- a/src/links/tests/http_caller_server_test.cpp
+++ b/src/links/tests/http_caller_server_test.cpp
@@ -32,7 +32,13 @@
         co_return refusal(answer_code::unavailable, "refused");
     }
 
+    caller_answer answer_unfinished(const unfinished_request& request) override {
+        unfinished.push_back(request);
+        return refusal(answer_code::outcome_unknown, "ended");
+    }
+
     std::chrono::milliseconds delay{0};
+    std::vector<unfinished_request> unfinished;
 };
 
 class http_caller_server_test : public testing::Test {
@@ -94,6 +100,39 @@
     EXPECT_EQ(receive_status(client), 503U);
 }
 
+// Guards against a request that is cut off without an answer, because it still runs when the time
+// to drain is over.
+TEST_F(http_caller_server_test, running_request_is_answered_when_requests_are_ended) {
+    m_handler.delay = 1min;
+    auto client = connect();
+    send_request(client);
+    while (m_server->requests_in_progress() == 0) {
+        ASSERT_EQ(m_io.run_one_for(2s), 1U);
+    }
+    m_server->end_requests();
+    EXPECT_EQ(receive_status(client), 504U);
+    EXPECT_EQ(m_handler.unfinished,
+              (std::vector{unfinished_request{caller_call::run, true, "id-1"}}));
+}
+
+// Guards against a request that is answered twice, because its result arrives after it was ended.
+TEST_F(http_caller_server_test, ended_request_gets_no_second_answer) {
+    m_handler.delay = 20ms;
+    auto client = connect();
+    send_request(client);
+    while (m_server->requests_in_progress() == 0) {
+        ASSERT_EQ(m_io.run_one_for(2s), 1U);
+    }
+    m_server->end_requests();
+    std::string received;
+    std::thread server([this] { m_io.run_for(200ms); });
+    boost::system::error_code error;
+    asio::read(client, asio::dynamic_buffer(received), error);
+    server.join();
+    EXPECT_EQ(error, asio::error::eof);
+    EXPECT_EQ(received.find("HTTP/1.1"), received.rfind("HTTP/1.1"));
+}
+
 // Guards against a stop that finds no open connection, while one has just been accepted.
 TEST_F(http_caller_server_test, accepted_connection_is_counted_before_the_drain_has_ended) {
     auto client = connect();
--- a/src/links/types/caller_messages.h
+++ b/src/links/types/caller_messages.h
@@ -69,6 +69,15 @@
     friend bool operator==(const caller_answer&, const caller_answer&) = default;
 };
 
+/// What is known of a request that has to be answered before it ends.
+struct unfinished_request {
+    caller_call call = caller_call::run;
+    bool writes = false;
+    std::string request_id; ///< the caller's idempotency key; empty when none was given
+
+    friend bool operator==(const unfinished_request&, const unfinished_request&) = default;
+};
+
 /// The answer to a request that was refused before any statement ran.
 [[nodiscard]] inline caller_answer refusal(answer_code code, std::string reason) {
     caller_answer answer;
--- a/tests/process/planned_stop_test.py
+++ b/tests/process/planned_stop_test.py
@@ -1,5 +1,8 @@
 """Planned stops (SIGTERM) of instances under load."""
 
+import http.client
+import threading
+import time
 import unittest
 
 from fixtures import KEY, SiteTest
@@ -105,5 +108,59 @@
         self.site.wait_ready()
 
 
+class UnfinishedRequestsTest(SiteTest):
+    """Requests that servers are still running when the drain limit is over."""
+
+    options = {"instances": 1, "drain_delay": "100ms", "drain_limit": "500ms"}
+    SEND_TIME_S = 0.2
+
+    def setUp(self):
+        self.write(self.caller(), "a", "0")
+        self.outcomes = {}
+
+    def send(self, name, call):
+        """Sends a request in a thread, which records the answer's outcome or the failure."""
+
+        def run():
+            try:
+                answer = call()
+                self.outcomes[name] = (answer.status, answer.outcome, answer.closes)
+            except (OSError, http.client.HTTPException) as failure:
+                self.outcomes[name] = repr(failure)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return thread
+
+    def pause_servers(self):
+        for server in self.database.servers:
+            server.process.pause()
+            self.addCleanup(server.process.resume)
+
+    # Guards against requests whose connections end without an answer, because the drain limit is over
+    # before their servers answer, and against a write whose caller is told that it has not run.
+    def test_requests_that_do_not_end_in_time_are_answered(self):
+        callers = {name: self.caller() for name in ("read", "write", "commit")}
+        begun = callers["commit"].post(f"/v1/services/{self.service('write')}/transactions")
+        self.assert_answer(begun, 200, "done")
+        path = f"/v1/transactions/{begun.body['transaction']}"
+        self.assert_answer(callers["commit"].post(path, {"statements": [put_row("c", "1")]}),
+                           200, "done")
+        self.pause_servers()
+        threads = [
+            self.send("read", lambda: callers["read"].run(self.service("read"), get_row("a"))),
+            self.send("write", lambda: callers["write"].run(self.service("write"),
+                                                            put_row("a", "1"))),
+            self.send("commit", lambda: callers["commit"].post(path + "/commit")),
+        ]
+        time.sleep(self.SEND_TIME_S)
+        self.assertEqual(self.site.instances[0].process.stop(), 0)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.outcomes, {"read": (503, "not-run", True),
+                                         "write": (504, "unknown", True),
+                                         "commit": (504, "unknown", True)})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/oriole_site/site.py
+++ b/tools/oriole_site/site.py
@@ -60,6 +60,7 @@
         self.traffic_threads = 2
         self.accounts = {"acme": ("acme-key", 100000, 100000)}
         self.drain_delay = "200ms"
+        self.drain_limit = "30s"
         self.share_slots = 4  # rate shares per zone: the most instances it can have
         # If set, adds a service "strict" that refuses while the configuration is older than this.
         self.stale_after = None
@@ -258,6 +259,7 @@
             f"peers: [{', '.join(peers)}]\n"
             f"traffic_threads: {self.options.traffic_threads}\n"
             f"drain_delay: {self.options.drain_delay}\n"
+            f"drain_limit: {self.options.drain_limit}\n"
             f"share_slots: {self.options.share_slots}\n"
         )
 
