Check that the statements of the stop tests run at the other instance

Two tests of stop_answers_test stop one instance while the statements of the other are under way.

The tests now wait until an instance forwards its statements, take the gateway from its log, and check in the log of the callers' instance which instance answered each statement: the gateway for a write, a statement of a transaction and both commits, the own instance for a read, which is tried again there after 650 ms. The second test checks that the gateway's own statements are not forwarded.

--- a/tests/process/stop_answers_test.py
+++ b/tests/process/stop_answers_test.py
@@ -1,6 +1,7 @@
 """Tests of the answers to statements that are still running when the grace period of a planned stop
 ends."""
 
+import re
 import socket
 import threading
 import time
@@ -104,7 +105,28 @@
             request = statement.session.last_id
             self.assertIn(f"request={request} ", self.instances[0].log())
 
+    def gateway(self):
+        """Waits until one instance forwards its statements to the other; returns the other."""
+        forwarding = []
+
+        def finds_gateway():
+            for index, instance in enumerate(self.instances):
+                self.run_until_done(self.session(index=index), "READ a")
+                forwarding.extend(re.findall(r"gateway=instance-(\d)", instance.log())[:1])
+            return forwarding
+
+        self.wait(finds_gateway, "a forwarded statement")
+        return int(forwarding[0])
+
+    def ran_at(self, index, statement):
+        """The number of the instance whose answer the caller got. It sent the statement to `index`."""
+        line = re.compile(rf"event=statement request={statement.session.last_id} .*")
+        self.wait(lambda: line.search(self.instances[index].log()), "the statement's log line")
+        gateway = re.search(r"gateway=instance-(\d)", line.search(self.instances[index].log())[0])
+        return int(gateway[1]) if gateway else index
+
     def check_statements_of_the_other_instance(self, stopped, other):
+        """Returns by which instance each statement was answered."""
         pending = self.start_statements(index=other)
         self.stop_instance(stopped)
         outcomes = {name: statement.result() for name, statement in pending.items()}
@@ -112,14 +134,24 @@
         # The servers may have run both.
         self.assertIn(outcomes["write"], ("INDOUBT", "TIMEOUT", "OK"))
         self.assertIn(outcomes["commit"], ("INDOUBT", "TIMEOUT", "OK"))
+        return {name: self.ran_at(other, statement) for name, statement in pending.items()}
 
     # Guards against statements that get no answer, or one that promises too much, when the gateway
-    # that runs them for another instance ends. One of the two instances is the gateway.
-    def test_statements_of_the_first_instance_are_answered_when_the_second_ends(self):
-        self.check_statements_of_the_other_instance(stopped=1, other=0)
-
-    def test_statements_of_the_second_instance_are_answered_when_the_first_ends(self):
-        self.check_statements_of_the_other_instance(stopped=0, other=1)
+    # that runs them for another instance ends.
+    def test_forwarded_statements_are_answered_when_the_gateway_ends(self):
+        gateway = self.gateway()
+        other = 1 - gateway
+        ran_at = self.check_statements_of_the_other_instance(gateway, other)
+        # A read that the gateway does not answer within 650 ms runs at the instance itself.
+        self.assertEqual(ran_at, {"read": other, "write": gateway, "transaction": gateway,
+                                  "commit": gateway, "commit of reads": gateway})
+
+    # Guards against the same for statements of the gateway's own sessions when the instance that
+    # forwards its statements to it ends.
+    def test_statements_of_the_gateway_are_answered_when_the_other_instance_ends(self):
+        gateway = self.gateway()
+        ran_at = self.check_statements_of_the_other_instance(1 - gateway, gateway)
+        self.assertEqual(set(ran_at.values()), {gateway})
 
     # Guards against an answer that is given although the server's own would come in time.
     def test_statements_that_end_in_time_get_their_own_answer(self):
