--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -33,6 +33,7 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self.rate, self.burst = rate, burst
+        self.limits = {}  # by account: its (rate, burst) where they differ from these
         self.keys = {"acme": ["acme-key"], "kita": ["kita-key"]}
         self.version = 1
         self.fences = []
@@ -121,8 +122,11 @@
                    "timeout_ms": self.statement_timeout_ms, "latency_target_ms": 800,
                    "priority": 1, "service": SERVICE, "max_attempts": 2, "max_staleness_ms": max_staleness_ms,
                    "public": False} for name, (kind, max_staleness_ms) in ROUTES.items()]
-        tenants = [{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": self.rate,
-                    "burst": self.burst} for name, keys in self.keys.items()]
+        tenants = []
+        for name, keys in self.keys.items():
+            rate, burst = self.limits.get(name, (self.rate, self.burst))
+            tenants.append({"name": name, "api_keys": keys, "priority": 1, "rate_per_s": rate,
+                            "burst": burst})
         await self.store.put("config", "main", {
             "version": self.version, "routes": routes, "tenants": tenants,
             "services": [{"name": SERVICE, "max_conns": 21,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -39,7 +39,7 @@
     _last_request = 0
     _last_session = 0
 
-    def __init__(self, site, number, callers, seed, pause_s=PAUSE_S):
+    def __init__(self, site, account, number, callers, seed, pause_s=PAUSE_S):
         super().__init__(daemon=True)
         self.pause_s = pause_s
         self.site = site
@@ -48,7 +48,7 @@
         self.random = random.Random(seed * 1000 + number)
         self.texts = texts_of(seed, number)
         self.items = [item_of(seed, caller) for caller in range(callers)]
-        self.account = "acme" if number % 2 == 0 else "kita"
+        self.account = account
         self.writes = 0
         self.operation = 0
         self.stopped = threading.Event()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -2,6 +2,7 @@
 violation."""
 
 import collections
+import dataclasses
 import re
 
 from history import Statement
@@ -27,6 +28,14 @@
 NO_EFFECT_ERRORS = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimit:
+    """The limit of an account over all instances."""
+
+    rate: int  # operations per second
+    burst: int  # operations
+
+
 def shown(text):
     """A text of arbitrary bytes in a finding."""
     return repr(text) if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]!r}... ({len(text)} bytes)"
@@ -209,7 +218,7 @@
                 yield f"request {run.request}: ran in the evacuated zone {zone}"
 
 
-def check_rates(history, rate, burst):
+def check_rates(history, limits):
     """No account exceeds its rate limit, summed over all instances. A transaction counts once."""
     operations = {statement.request: statement.operation for statement in history.statements}
     first = {}
@@ -217,17 +226,18 @@
         operation = operations.get(run.request)
         if operation is not None:
             first.setdefault((run.account, operation), run.at)
-    limit = (rate * RATE_WINDOW_S + burst) * (1 + RATE_TOLERANCE) + RATE_TOLERANCE_OPERATIONS
     by_account = collections.defaultdict(list)
     for (account, _), at in first.items():
         by_account[account].append(at)
-    for account, times in by_account.items():
-        times.sort()
+    for account, limit in limits.items():
+        allowed = limit.rate * RATE_WINDOW_S + limit.burst
+        most = allowed * (1 + RATE_TOLERANCE) + RATE_TOLERANCE_OPERATIONS
+        times = sorted(by_account[account])
         start = 0
         for end, at in enumerate(times):
             while times[start] < at - RATE_WINDOW_S:
                 start += 1
-            if end - start + 1 > limit:
+            if end - start + 1 > most:
                 yield f"account {account}: {end - start + 1} operations in {RATE_WINDOW_S} s"
                 break
 
@@ -267,9 +277,10 @@
                    f"{lost.ended - lost.started:.2f} s, {state}: {shown(lost.text)}")
 
 
-def judge(history, rate, burst):
+def judge(history, limits):
+    """`limits` are the RateLimits by account."""
     checks = [check_answers, check_rows, check_requests, check_sessions, check_writes, check_lost_writes,
               check_reads, check_fencing_tokens, check_keys, check_evacuations, check_recovery,
               check_stops, check_own_ends, check_unanswered_requests]
     findings = [finding for check in checks for finding in check(history)]
-    return findings + list(check_rates(history, rate, burst))
+    return findings + list(check_rates(history, limits))
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -6,6 +6,7 @@
 
 import judge
 from history import Entry, History, Run, Statement, Unanswered
+from judge import RateLimit
 
 
 class JudgeTest(unittest.TestCase):
@@ -32,7 +33,8 @@
         self.add(statement, run)
 
     def findings(self):
-        return judge.judge(self.history, 100, 100)
+        limit = RateLimit(rate=100, burst=100)
+        return judge.judge(self.history, {"acme": limit, "kita": limit})
 
     # Guards against findings in a history without violations.
     def test_good_history_has_no_findings(self):
--- a/tests/soak/planted_fault_test.py
+++ b/tests/soak/planted_fault_test.py
@@ -1,6 +1,6 @@
 """Tests that the soak finds planted faults of processes: each guards against a soak that passes
-although a process ended by itself, a request got no whole answer or that of another request, or a
-text was cut."""
+although a process ended by itself, a request got no whole answer or that of another request, a text
+was cut, or an account exceeded its rate."""
 
 import os
 import shutil
@@ -9,10 +9,11 @@
 import unittest
 from unittest import mock
 
-from soak import Soak, parse_options
+from soak import LIMITED_ACCOUNT, Soak, parse_options
 from users_platform.backend import Connection
 
 SECONDS = 6.0
+RATE_SECONDS = 10.0  # longer than the time over which the judge adds operations up
 PLANTED_AT_S = 2.0
 LONG_WORK_S = 0.1
 
@@ -112,5 +113,32 @@
         self.assert_found("committed although answered BUSY", findings)
 
 
+class PlantedRateTest(unittest.TestCase):
+    """Each instance admits the whole rate of an account, instead of its fraction."""
+
+    def findings(self, *options):
+        soak = Soak(1, parse_options([*options, "--seconds", str(RATE_SECONDS)]))
+        self.addCleanup(shutil.rmtree, soak.work_dir, ignore_errors=True)
+        soak.faults.reserved.update(soak.site.instances)
+        platform, instances = soak.site.platform, len(soak.site.instances)
+        for account, limit in soak.site.limits.items():
+            platform.limits[account] = (limit.rate * instances, limit.burst * instances)
+        platform.call(platform.publish)
+        return soak.run()
+
+    def assert_found(self, findings):
+        self.assertTrue(any(f"account {LIMITED_ACCOUNT}: " in finding and "operations in" in finding
+                            for finding in findings), findings[:10])
+
+    def test_excess_over_a_rate_is_found(self):
+        self.assert_found(self.findings())
+
+    def test_excess_over_a_rate_is_found_beside_repeated_answers(self):
+        self.assert_found(self.findings("--repeated-answers"))
+
+    def test_excess_over_a_rate_is_found_beside_planned_work(self):
+        self.assert_found(self.findings("--planned-work"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -1,6 +1,7 @@
 """The system under soak: instances as processes, stand-ins, and a fault-injecting proxy in front of
 each address."""
 
+import dataclasses
 import glob
 import os
 import signal
@@ -9,14 +10,20 @@
 import time
 
 from history import Entry, RecordedAnswers, TimestampedRuns
+from judge import RateLimit
 from platform_fixtures import LOOPBACK, ROOT, STOP_GRACE_S, Platform, free_port
 from oriole_site.http import fetch_status, put_json
 
 # Zones of the instances, in turn. The platform stand-in has one backend server in each of them.
 ZONES = ("zone-a", "zone-a", "zone-b", "zone-b", "zone-c")
 DEFAULT_INSTANCES = len(ZONES)
+# The accounts that share the limit of the soak, and one with a limit that its callers exceed, so that
+# instances which admit more than they may are seen.
+ACCOUNTS = ("acme", "kita")
 RATE = 200
 BURST = 200
+LIMITED_ACCOUNT = "lima"
+LOW_LIMIT = RateLimit(rate=40, burst=40)
 COLLECT_INTERVAL_S = 0.02
 
 
@@ -145,7 +152,11 @@
                  work_s=0.0, stop_grace_s=STOP_GRACE_S, sync_replicas=0):
         """`work_s` is the time that a server takes for each request."""
         self.history = history
+        self.limits = {account: RateLimit(rate, BURST) for account in ACCOUNTS}
+        self.limits[LIMITED_ACCOUNT] = LOW_LIMIT
         self.platform = Platform(rate, BURST, sync_replicas=sync_replicas)
+        self.platform.keys[LIMITED_ACCOUNT] = [f"{LIMITED_ACCOUNT}-key"]
+        self.platform.limits[LIMITED_ACCOUNT] = dataclasses.astuple(LOW_LIMIT)
         self.servers = list(self.platform.database.servers.values())
         for server in self.servers:
             server.work_s = work_s
@@ -198,6 +209,7 @@
         self.history.fences = self.platform.fences
         for server in self.servers:
             await self.platform.register(server)
+        await self.platform.publish()
 
     def resynchronize(self):
         """Copies the primary's log to all other servers that can receive it."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,11 +20,14 @@
 from history import History
 from judge import judge
 from planned_work import PlannedWork
-from site_under_soak import BURST, DEFAULT_INSTANCES, RATE, ROOT, Site
+from site_under_soak import ACCOUNTS, DEFAULT_INSTANCES, LIMITED_ACCOUNT, RATE, ROOT, Site
 
 CALLERS = 12
+# Further callers, of the account with a limit that they exceed.
+LIMITED_CALLERS = 3
+LIMITED_PAUSE_S = 0.005
 MAX_ACTIVE_FAULTS = 3
-HIGH_RATE = 1000  # more than the callers send
+HIGH_RATE = 1000  # more than the callers of these accounts send
 SERVER_WORK_S = 0.005
 JUDGE_INTERVAL_S = 5.0
 READY_TIMEOUT_S = 20.0
@@ -38,8 +41,8 @@
         self.work_dir = tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-")
         self.history = History()
         site_options.setdefault("work_s", SERVER_WORK_S if options.planned_work else 0.0)
-        self.rate = HIGH_RATE if options.repeated_answers else RATE
-        self.site = Site(self.history, self.work_dir, options.build, options.instances, self.rate,
+        rate = HIGH_RATE if options.repeated_answers else RATE
+        self.site = Site(self.history, self.work_dir, options.build, options.instances, rate,
                          sync_replicas=options.sync_replicas, **site_options)
         self.random = random.Random(seed)
         kinds = PlannedWork if options.planned_work else Faults
@@ -50,9 +53,12 @@
         # Every second caller sends its next operation at once, where it matters that connections are
         # in use.
         busy = options.planned_work or options.repeated_answers
-        self.callers = [Caller(self.site, number, CALLERS, seed,
-                               0.0 if busy and number % 4 > 1 else PAUSE_S)
+        all_callers = CALLERS + LIMITED_CALLERS
+        self.callers = [Caller(self.site, ACCOUNTS[number % len(ACCOUNTS)], number, all_callers,
+                               seed, 0.0 if busy and number % 4 > 1 else PAUSE_S)
                         for number in range(CALLERS)]
+        self.callers += [Caller(self.site, LIMITED_ACCOUNT, number, all_callers, seed,
+                                LIMITED_PAUSE_S) for number in range(CALLERS, all_callers)]
         self.active_faults = []  # (time to end it, name, function that ends it)
         self.fault_log = []  # start and end of each fault, for faults.log
 
@@ -130,7 +136,7 @@
             self.history.recovered[instance.name] = instance not in waiting
 
     def judge(self):
-        return judge(self.history.snapshot(self.site.log), self.rate, BURST)
+        return judge(self.history.snapshot(self.site.log), self.site.limits)
 
     def summary(self):
         outcomes = collections.Counter(statement.error or "ok"
