--- a/standins/users_platform/links.py
+++ b/standins/users_platform/links.py
@@ -57,8 +57,7 @@
 
         async def serve_link(reader, writer):
             link = Link(reader, writer)
-            links = self.links.setdefault(group, set())
-            links.add(link)
+            links = self.add(group, link)
             try:
                 await handler(link, link)
             finally:
@@ -68,6 +67,12 @@
 
         return serve_link
 
+    def add(self, group, link):
+        """Adds an open link to the group, whose links it returns."""
+        links = self.links.setdefault(group, set())
+        links.add(link)
+        return links
+
     def abort(self):
         for links in self.links.values():
             for link in links:
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -86,6 +86,10 @@
         listener = await asyncio.start_server(self.links.serve(group, handler), LOOPBACK, 0)
         return listener.sockets[0].getsockname()[1]
 
+    def ports_for_instance(self):
+        """The ports of the store and of the promotion API that one instance uses."""
+        return self.store_port, self.promotion_port
+
     async def relay(self, port):
         """Listens on a port whose connections, of the group "instances", lead to `port`."""
         return await self.listen("instances", pass_on_to(LOOPBACK, port))
--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -112,6 +112,7 @@
     def __init__(self, platform, number, zone, work_dir, build):
         self.caller_port, self.admin_port, self.peer_port, self.gateway_port = (
             free_port() for _ in range(4))
+        store, promotions = platform.ports_for_instance()
         settings = os.path.join(work_dir, f"settings-{number}.yaml")
         self.log_path = os.path.join(work_dir, f"instance-{number}.log")
         with open(settings, "w", encoding="utf-8") as out:
@@ -120,8 +121,8 @@
                 f"callers: {LOOPBACK}:{self.caller_port}\nadmin: {LOOPBACK}:{self.admin_port}\n"
                 f"peers: {LOOPBACK}:{self.peer_port}\n"
                 f"gateway: {LOOPBACK}:{self.gateway_port}\ncore_share: 0.25\n"
-                f"store: {LOOPBACK}:{platform.store_port}\n"
-                f"promotions: {LOOPBACK}:{platform.promotion_port}\n"
+                f"store: {LOOPBACK}:{store}\n"
+                f"promotions: {LOOPBACK}:{promotions}\n"
                 f"stop_grace_s: {STOP_GRACE_S}\n"
                 f"zones: [{', '.join(platform.zones)}]\n"
                 f"fenced_promotions: {str(platform.fenced).lower()}\n")
