--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -173,7 +173,10 @@
         return self.impair_link(self.site.server_proxies, delay_ms=40, jitter_ms=40)
 
     def do_server_crash(self):
-        server = self.reserve(self.site.servers)
+        return self.crash_server(self.site.servers)
+
+    def crash_server(self, candidates):
+        server = self.reserve(candidates)
         if server is None:
             return None
         platform = self.site.platform
--- a/tests/soak/planted_fault_test.py
+++ b/tests/soak/planted_fault_test.py
@@ -1,6 +1,7 @@
 """Tests that the soak finds planted faults of processes: each guards against a soak that passes
 although a process ended by itself, a request got no whole answer or that of another request, a text
-was cut, or an account exceeded its rate."""
+was cut, an account exceeded its rate, or a reply of the platform was taken for
+that to another call."""
 
 import os
 import shutil
@@ -9,10 +10,14 @@
 import unittest
 from unittest import mock
 
+# The first one lets the modules of the process tests be found.
 from soak import LIMITED_ACCOUNT, Soak, parse_options
+from kept_connections import ports_behind_kept_connections
+from platform_fixtures import Platform
 from users_platform.backend import Connection
 
 SECONDS = 6.0
+REPLY_SECONDS = 25.0  # for several changes of primary
 RATE_SECONDS = 10.0  # longer than the time over which the judge adds operations up
 PLANTED_AT_S = 2.0
 LONG_WORK_S = 0.1
@@ -113,6 +118,19 @@
         self.assert_found("committed although answered BUSY", findings)
 
 
+class PlantedReplyTest(unittest.TestCase):
+    """The instances take a repeated reply of the store or of the promotion API for the reply to a
+    later call."""
+
+    def test_replies_to_other_calls_are_found(self):
+        options = parse_options(["--repeated-replies", "--seconds", str(REPLY_SECONDS)])
+        with mock.patch.object(Platform, "ports_for_instance", ports_behind_kept_connections):
+            soak = Soak(1, options)
+        self.addCleanup(shutil.rmtree, soak.work_dir, ignore_errors=True)
+        findings = soak.run()
+        self.assertTrue(any("fencing token" in finding for finding in findings), findings[:10])
+
+
 class PlantedRateTest(unittest.TestCase):
     """Each instance admits the whole rate of an account, instead of its fraction."""
 
--- a/tests/soak/site_under_soak.py
+++ b/tests/soak/site_under_soak.py
@@ -166,7 +166,7 @@
         self.store_proxies = {}
         self.peer_proxies = {}
         for instance in self.instances:
-            store = Proxy(build, [self.platform.store_port, self.platform.promotion_port])
+            store = Proxy(build, self.platform.ports_for_instance())
             instance.write_settings(*store.ports, stop_grace_s)
             self.store_proxies[instance.name] = store
             self.peer_proxies[instance.name] = Proxy(build, [instance.peers, instance.gateway])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 from history import History
 from judge import judge
 from planned_work import PlannedWork
+from repeated_replies import RepeatedReplies
 from site_under_soak import ACCOUNTS, DEFAULT_INSTANCES, LIMITED_ACCOUNT, RATE, ROOT, Site
 
 CALLERS = 12
@@ -48,6 +49,8 @@
         kinds = PlannedWork if options.planned_work else Faults
         if options.sync_replicas:
             kinds = SynchronousFaults
+        if options.repeated_replies:
+            kinds = RepeatedReplies
         self.faults = kinds(self.site, self.random, options.store_restores,
                             options.repeated_answers)
         # Every second caller sends its next operation at once, where it matters that connections are
@@ -156,6 +159,9 @@
                         help="also restore the store from older copies")
     parser.add_argument("--repeated-answers", action="store_true",
                         help="servers, the store and the promotion service also send answers twice")
+    parser.add_argument("--repeated-replies", action="store_true",
+                        help="the store and the promotion service send each reply twice, while "
+                             "primaries are lost")
     parser.add_argument("--planned-work", action="store_true",
                         help="inject planned work and troubles around a start only; no request may "
                              "then be cut off")
