--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -137,8 +137,8 @@
         const bool all_closed = std::all_of(sessions.begin(), sessions.end(),
                                             [](const auto& known) { return known->closed(); });
         const bool all_ended = all_closed && m_gateway.idle();
-        // After a round that comes late, because the process was not scheduled, there is one more in
-        // which the unfinished statements are answered.
+        // After a round that comes late, because the process was not scheduled, there is one more
+        // in which the unfinished statements are answered.
         const bool time_over = elapsed > m_settings.stop_grace - forced_close_margin;
         if ((all_ended && !listening) || (time_over && answered_all)) {
             break;
