Leave a forwarded statement in doubt after an error of its gateway

What callers saw: a write that ran twice and was acknowledged once, or a commit that was told as aborted, after an unexpected error of the gateway that ran it.

Cause: an exception of a call's handler reached the calling instance as the same error as a refusal, which promises that nothing has run, so the statement ran again at the next gateway or over own connections. Found by reading.

Only an error with a code of its own is a refusal now (and those of a call that the JSON-RPC server does not handle); the handler says so by peer_call_refused. Any other error leaves the statement in doubt.

Evidence: write_is_in_doubt_after_an_unexpected_error_of_the_gateway fails before (answered ok, the write ran a second time) and passes now.

--- a/src/entry/internal/gateway_link.cpp
+++ b/src/entry/internal/gateway_link.cpp
@@ -103,8 +103,10 @@
         co_return result;
     } catch (const links::peer_call_too_long& failure) {
         throw gateway_refused(failure.what());
-    } catch (const links::peer_call_failed& failure) {
+    } catch (const links::peer_call_refused& failure) {
         refusal = failure.what();
+    } catch (const links::peer_call_failed& failure) {
+        reason_without_answer = failure.what();
     } catch (const links::unexpected_answer& failure) {
         m_unexpected_replies.report(instance.id, failure.what());
         reason_without_answer = failure.what();
--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -21,12 +21,6 @@
 /// transaction may have stopped without a rollback.
 constexpr clock::duration default_idle_limit = 30s;
 
-/// The call is rejected, for example while the instance is shutting down.
-class call_rejected : public error {
-public:
-    using error::error;
-};
-
 /// Scope guard that increments the counter of running statements during its lifetime.
 class running_statement {
 public:
@@ -41,6 +35,15 @@
     int& m_count;
 };
 
+/// Throws links::peer_call_refused.
+forwarded_statement decode_call(const std::string& params) {
+    try {
+        return decode_forwarded(params);
+    } catch (const std::exception& unreadable) {
+        throw links::peer_call_refused(unreadable.what());
+    }
+}
+
 forwarded_outcome outcome_from(run_outcome run) {
     forwarded_outcome outcome;
     outcome.answer = std::move(run.answer);
@@ -101,15 +104,15 @@
 }
 
 asio::awaitable<std::string> gateway_service::run(std::string params) {
-    auto forwarded = decode_forwarded(params);
+    auto forwarded = decode_call(params);
     if (m_leaving && forwarded.phase != transaction_phase::next) {
-        throw call_rejected("the instance is shutting down");
+        throw links::peer_call_refused("the instance is shutting down");
     }
     forwarded.elapsed += m_context.unread_time();
     if (forwarded.elapsed >= forwarded.route.statement_timeout) {
         // The caller has been told that the statement timed out, and may have sent another.
         end_transaction(forwarded.transaction);
-        throw call_rejected("the time limit of the statement is over");
+        throw links::peer_call_refused("the time limit of the statement is over");
     }
     const running_statement counted(m_running_statements);
     auto outcome = co_await execute(std::move(forwarded));
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -33,6 +33,9 @@
     /// Rolls back the open transactions in which no statement is running.
     void abort_transactions();
 
+    /// The endpoint on which the service listens.
+    [[nodiscard]] endpoint address() const { return m_server->address(); }
+
     /// Returns whether no statement is running and no transaction is open for another instance.
     [[nodiscard]] bool idle() const noexcept {
         return m_running_statements == 0 && m_transactions.empty();
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
     /// The connection breaks when the answer to this kind of command is due.
     std::optional<sessions::command_kind> breaks_on;
     std::optional<sessions::command_kind> no_answer_to; ///< this kind of command is never answered
+    /// The channel fails with an error that it does not announce, once this kind of command has
+    /// run.
+    std::optional<sessions::command_kind> fails_on;
     /// The answer to this kind of command is lost, but later answers arrive.
     std::optional<sessions::command_kind> loses_answer_to;
     int busy_statements = 0; ///< the next callers' statements are refused as busy
@@ -98,6 +102,10 @@
                 throw server_timeout("fake server did not answer within the time limit");
             }
             m_due.pop_front();
+            if (m_script->fails_on == command.kind) {
+                static_cast<void>(answer_to(command));
+                throw std::runtime_error("planted");
+            }
             if (m_script->answer_delay > clock::duration::zero()) {
                 boost::asio::steady_timer timer(m_executor, m_script->answer_delay);
                 co_await timer.async_wait(boost::asio::use_awaitable);
--- /dev/null
+++ b/src/entry/tests/gateway_service_test.cpp
@@ -0,0 +1,134 @@
+#include "fake_servers.h"
+#include "recording_log.h"
+
+#include "entry/internal/forwarding_executor.h"
+#include "entry/internal/gateway_link.h"
+#include "entry/internal/gateway_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <gtest/gtest.h>
+
+namespace oriole::entry {
+namespace {
+
+using namespace std::chrono_literals;
+using sessions::answer_code;
+using sessions::command_kind;
+
+/// Counts the statements that run over the instance's own connections instead of at the gateway.
+class counting_executor final : public statement_executor {
+public:
+    [[nodiscard]] boost::asio::awaitable<run_outcome> run_autocommit(statement_run) override {
+        ++runs;
+        co_return run_outcome{};
+    }
+
+    [[nodiscard]] boost::asio::awaitable<run_outcome>
+    run_first(statement_run, bool, std::unique_ptr<statement_transaction>&) override {
+        ++runs;
+        co_return run_outcome{};
+    }
+
+    int runs = 0;
+};
+
+/// A gateway with a fake primary, and an instance that forwards its statements to it.
+class gateway_service_test : public testing::Test {
+protected:
+    gateway_service_test() {
+        m_route.service = service_name("db");
+        m_route.policy = fleet::read_policy::newest;
+        m_route.statement_timeout = 10s;
+        m_route.latency_target = 1s;
+        fleet::usable_server primary;
+        primary.listed = fake_listed("primary", "zone");
+        primary.primary = true;
+        primary.connections = {2, 2};
+        fleet::fleet_view view;
+        view.servers[service_name("db")] = {primary};
+        m_primary.primary = true;
+        m_context.apply(std::make_shared<const fleet::fleet_view>(view));
+        fleet::registered_instance gateway;
+        gateway.id = instance_id("gateway");
+        gateway.gateway_address = m_gateway.address();
+        m_executor.set_gateways({gateway});
+    }
+
+    statement_run make(const std::string& text) {
+        statement_run run;
+        run.route = &m_route;
+        run.account = account_name("t");
+        run.statement.id = "1";
+        run.statement.text = text;
+        run.decision.step = sessions::session_step::run;
+        run.decision.writes = text.starts_with("WRITE");
+        run.statement.kind = text == "COMMIT"      ? sessions::statement_kind::commit
+                             : run.decision.writes ? sessions::statement_kind::write
+                                                   : sessions::statement_kind::read;
+        run.arrived = steady_clock().now();
+        return run;
+    }
+
+    /// Runs the event loop until the coroutine has ended, although the gateway still listens.
+    run_outcome finish(boost::asio::awaitable<run_outcome> work) {
+        std::optional<run_outcome> result;
+        boost::asio::co_spawn(m_io, std::move(work), [&](std::exception_ptr, run_outcome outcome) {
+            result = std::move(outcome);
+        });
+        m_io.restart();
+        while (!result && m_io.run_one_for(10s) == 1U) {
+        }
+        return std::move(result).value();
+    }
+
+    run_outcome run_autocommit(const std::string& text) {
+        return finish(m_executor.run_autocommit(make(text)));
+    }
+
+    run_outcome begin(const std::string& text) {
+        return finish(m_executor.run_first(make(text), false, m_transaction));
+    }
+
+    run_outcome next(const std::string& text) {
+        return finish(m_transaction->run_next(make(text)));
+    }
+
+    static entry_settings make_settings() {
+        entry_settings settings;
+        settings.fenced_promotions = true;
+        return settings;
+    }
+
+    boost::asio::io_context m_io;
+    fleet::route m_route;
+    recording_log m_log;
+    metric_registry m_metrics;
+    fake_servers m_servers;
+    server_script& m_primary = m_servers.at("primary");
+    traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), m_log, m_metrics};
+    gateway_service m_gateway{m_io.get_executor(), {"127.0.0.1", 0}, m_context};
+    gateway_link m_link{m_io.get_executor(), m_log, m_metrics};
+    counting_executor m_local;
+    forwarding_executor m_executor{m_link, m_local};
+    std::unique_ptr<statement_transaction> m_transaction;
+};
+
+// Guards against a write that runs twice, because an error of the gateway after the server ran it
+// is taken for a refusal.
+TEST_F(gateway_service_test, write_is_in_doubt_after_an_unexpected_error_of_the_gateway) {
+    m_primary.fails_on = command_kind::caller_statement;
+    EXPECT_EQ(run_autocommit("WRITE a b").answer.code, answer_code::in_doubt);
+    EXPECT_EQ(m_local.runs, 0);
+    EXPECT_EQ(m_primary.statements, 1);
+}
+
+// Guards against a statement that no instance runs, because its gateway is shutting down.
+TEST_F(gateway_service_test, write_that_a_leaving_gateway_refuses_runs_elsewhere) {
+    m_gateway.leave();
+    EXPECT_EQ(run_autocommit("WRITE a b").answer.code, answer_code::ok);
+    EXPECT_EQ(m_local.runs, 1);
+    EXPECT_EQ(m_primary.statements, 0);
+}
+
+} // namespace
+} // namespace oriole::entry
--- a/src/links/internal/rpc_client_codec.cpp
+++ b/src/links/internal/rpc_client_codec.cpp
@@ -1,5 +1,7 @@
 #include "links/internal/rpc_client_codec.h"
 
+#include "links/internal/rpc_refusal_code.h"
+
 #include <jsonrpccpp/client.h>
 
 #include <exception>
@@ -62,6 +64,14 @@
     }
 }
 
+/// Returns whether a server answers with this code only for a call that it has not handled.
+bool is_refusal(int code) {
+    return code == rpc_refusal_code || code == jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR ||
+           code == jsonrpc::Errors::ERROR_RPC_INVALID_REQUEST ||
+           code == jsonrpc::Errors::ERROR_RPC_METHOD_NOT_FOUND ||
+           code == jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS;
+}
+
 std::string write(const Json::Value& value) {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
@@ -97,6 +107,11 @@
     jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
     try {
         return write(client.CallMethod(method, Json::Value(Json::objectValue)));
+    } catch (const jsonrpc::JsonRpcException& failure) {
+        if (is_refusal(failure.GetCode())) {
+            throw rpc_refusal(failure.what());
+        }
+        throw rpc_error(failure.what());
     } catch (const std::exception& failure) {
         throw rpc_error(failure.what());
     }
--- a/src/links/internal/rpc_client_codec.h
+++ b/src/links/internal/rpc_client_codec.h
@@ -17,6 +17,12 @@
     using std::runtime_error::runtime_error;
 };
 
+/// A JSON-RPC answer reports that the call was refused before it had any effect.
+class rpc_refusal : public rpc_error {
+public:
+    using rpc_error::rpc_error;
+};
+
 /// The text is not the answer to the request: it is no JSON-RPC 2.0 answer, or has another id.
 class rpc_answer_mismatch : public std::runtime_error {
 public:
@@ -29,7 +35,7 @@
                              const std::string& params);
 
 /// Decodes the JSON-RPC answer to the request `id`, a call of `method`, and returns the result as
-/// JSON text. Throws rpc_error and rpc_answer_mismatch.
+/// JSON text. Throws rpc_refusal, rpc_error and rpc_answer_mismatch.
 std::string read_rpc_result(std::uint64_t id, const std::string& method, const std::string& answer);
 
 } // namespace links
--- a/src/links/internal/rpc_server_codec.cpp
+++ b/src/links/internal/rpc_server_codec.cpp
@@ -1,5 +1,7 @@
 #include "links/internal/rpc_server_codec.h"
 
+#include "links/internal/rpc_refusal_code.h"
+
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/iclientconnectionhandler.h>
@@ -46,8 +48,9 @@
             return;
         }
         if (m_outcome->failed) {
-            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INTERNAL_ERROR,
-                                            m_outcome->text);
+            throw jsonrpc::JsonRpcException(
+                m_outcome->refused ? rpc_refusal_code : jsonrpc::Errors::ERROR_RPC_INTERNAL_ERROR,
+                m_outcome->text);
         }
         output = parse(m_outcome->text);
     }
--- a/src/links/internal/rpc_server_codec.h
+++ b/src/links/internal/rpc_server_codec.h
@@ -19,6 +19,7 @@
 struct rpc_outcome {
     bool failed = false;
     std::string text;
+    bool refused = false; ///< the call failed before it had any effect
 
     friend bool operator==(const rpc_outcome&, const rpc_outcome&) = default;
 };
--- a/src/links/internal/tcp_peer_link.cpp
+++ b/src/links/internal/tcp_peer_link.cpp
@@ -55,7 +55,7 @@
     try {
         return make_rpc_request(id, method, params);
     } catch (const rpc_error& failure) {
-        throw peer_call_failed(method + ": " + failure.what());
+        throw peer_call_refused(method + ": " + failure.what());
     }
 }
 
@@ -115,6 +115,9 @@
         auto result = read_rpc_result(id, method, answer);
         store_idle(peer, std::move(connection));
         co_return result;
+    } catch (const rpc_refusal& failure) {
+        store_idle(peer, std::move(connection));
+        throw peer_call_refused(method + " at " + peer.str() + ": " + failure.what());
     } catch (const rpc_error& failure) {
         store_idle(peer, std::move(connection));
         throw peer_call_failed(method + " at " + peer.str() + ": " + failure.what());
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -128,15 +128,18 @@
 }
 
 awaitable<std::string> peer_acceptor::answer(std::string request) {
-    rpc_outcome result{true, "the request is not a single call of a known method"};
+    rpc_outcome result{true, "the request is not a single call of a known method", true};
     const auto call = m_protocol.read(request);
     if (call) {
         try {
             const auto& handle = m_handlers.at(call->method);
             result.text = co_await handle(call->params);
             result.failed = false;
+        } catch (const peer_call_refused& refusal) {
+            result.text = refusal.what();
         } catch (const std::exception& failure) {
             result.text = failure.what();
+            result.refused = false;
         }
     }
     co_return m_protocol.answer(request, result);
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -18,13 +18,20 @@
 
 namespace oriole::links {
 
-/// The peer answered the call with an error: its handler refused or failed, or it has no such
-/// method.
+/// The peer answered the call with an error. Its handler failed, perhaps after the call took
+/// effect.
 class peer_call_failed : public error {
 public:
     using error::error;
 };
 
+/// The peer did not accept the call: its handler threw this exception, or it has no such method.
+/// The call had no effect.
+class peer_call_refused : public peer_call_failed {
+public:
+    using peer_call_failed::peer_call_failed;
+};
+
 /// The call is longer than max_peer_message_bytes. Nothing was sent, so it says nothing of the
 /// peer.
 class peer_call_too_long : public error {
@@ -70,7 +77,7 @@
     /// that may have been sent is not repeated. Throws link_error when the peer cannot be reached,
     /// does not know the secret or does not answer by `deadline`, unexpected_answer when it sends
     /// something else than the answer; peer_not_running when its machine
-    /// refuses the connection; peer_call_failed when it answers with an error.
+    /// refuses the connection; peer_call_refused or peer_call_failed when it answers with an error.
     [[nodiscard]] virtual boost::asio::awaitable<std::string>
     call(endpoint peer, std::string method, std::string params, clock::time_point deadline) = 0;
 
@@ -81,8 +88,8 @@
 /// Answers calls from other instances. Its handlers run on the thread of its executor.
 class peer_server {
 public:
-    /// Takes the params and returns the result, both as JSON text. An exception from the handler
-    /// reaches the calling instance as peer_call_failed.
+    /// Takes the params and returns the result, both as JSON text. A peer_call_refused from the
+    /// handler reaches the calling instance as such, any other exception as peer_call_failed.
     using handler = std::function<boost::asio::awaitable<std::string>(std::string params)>;
 
     virtual ~peer_server() = default;
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -28,6 +28,10 @@
             throw error("handler failed");
             co_return "";
         });
+        m_server->add_method("refuse", [](std::string) -> awaitable<std::string> {
+            throw peer_call_refused("handler refused");
+            co_return "";
+        });
         m_server->add_method("wait", [this](std::string) -> awaitable<std::string> {
             asio::steady_timer timer(m_io, std::chrono::hours(1));
             co_await timer.async_wait(asio::use_awaitable);
@@ -144,6 +148,21 @@
     EXPECT_EQ(call(*m_link, "echo", "{}"), "{}");
 }
 
+// Guards against a call that is made again elsewhere although it may have taken effect, because its
+// handler's error is taken for a refusal.
+TEST_F(tcp_peer_link_test, only_calls_without_effect_are_reported_as_refused) {
+    EXPECT_THROW(call(*m_link, "refuse", "{}"), peer_call_refused);
+    EXPECT_THROW(call(*m_link, "unknown", "{}"), peer_call_refused);
+    try {
+        call(*m_link, "fail", "{}");
+        FAIL() << "no exception";
+    } catch (const peer_call_refused& refusal) {
+        FAIL() << refusal.what();
+    } catch (const peer_call_failed& failure) {
+        EXPECT_NE(std::string(failure.what()).find("handler failed"), std::string::npos);
+    }
+}
+
 // Guards against a call that exceeds its deadline, and against a late answer that is delivered to
 // the next call.
 TEST_F(tcp_peer_link_test, late_answer_ends_call_and_its_connection) {
