End a gateway's transaction with an unexpected error in it

What callers saw: nothing at once; the gateway kept the transaction of a statement that failed unexpectedly, with its locks and its server connection, and a planned stop waited for it, as its mark "a statement is running" was never cleared.

Cause: the mark was set before the statement and cleared after it, but not on an exception. A running statement now owns its transaction, so no mark is needed; an exception destroys both, and destroying an open transaction closes its connection, which rolls back. The caller was told that the transaction was aborted.

Evidence: transaction_ends_with_an_unexpected_error_of_the_gateway fails before (the gateway is not idle, one connection stays open) and passes now.

--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -80,7 +80,7 @@
         const auto limit = configured > clock::duration::zero() ? configured : default_idle_limit;
         const auto now = steady_clock().now();
         for (auto at = m_transactions.begin(); at != m_transactions.end();) {
-            const bool idle_too_long = !at->second.running && now - at->second.used > limit;
+            const bool idle_too_long = now - at->second.used > limit;
             if (idle_too_long) {
                 m_context.log().write(log_entry("transaction_idle")
                                           .add("server", at->second.transaction->server().str())
@@ -94,13 +94,10 @@
 }
 
 void gateway_service::abort_transactions() {
-    for (auto at = m_transactions.begin(); at != m_transactions.end();) {
-        const bool no_statement_running = !at->second.running;
-        if (no_statement_running) {
-            at->second.transaction->roll_back();
-        }
-        at = no_statement_running ? m_transactions.erase(at) : std::next(at);
+    for (const auto& [id, held] : m_transactions) {
+        held.transaction->roll_back();
     }
+    m_transactions.clear();
 }
 
 asio::awaitable<std::string> gateway_service::run(std::string params) {
@@ -156,7 +153,7 @@
         if (transaction != nullptr) {
             outcome.transaction = new_transaction_id();
             m_transactions[outcome.transaction] = {std::move(transaction), forwarded.account,
-                                                   steady_clock().now(), false};
+                                                   steady_clock().now()};
         }
     }
     log_failure(forwarded, outcome);
@@ -168,30 +165,27 @@
     run.route = &forwarded.route;
     forwarded_outcome outcome;
     const auto found = m_transactions.find(forwarded.transaction);
-    if (found == m_transactions.end() || found->second.running ||
-        found->second.account != forwarded.account) {
-        // The transaction was rolled back here and is no longer in m_transactions, or it is still
-        // running another statement, or it is another account's. This call commits nothing.
+    if (found == m_transactions.end() || found->second.account != forwarded.account) {
+        // The transaction was rolled back here, or it is still running another statement, or it is
+        // another account's. This call commits nothing.
         outcome.answer.code = sessions::answer_code::aborted;
         outcome.routing_basis = "transaction";
         outcome.transaction_finished = true;
         co_return outcome;
     }
-    auto& held = found->second;
-    held.running = true;
-    outcome = outcome_from(co_await held.transaction->run_next(std::move(run)));
-    held.running = false;
-    held.used = steady_clock().now();
-    if (outcome.transaction_finished) {
-        m_transactions.erase(forwarded.transaction);
-    }
+    auto running = m_transactions.extract(found);
+    outcome = outcome_from(co_await running.mapped().transaction->run_next(std::move(run)));
     log_failure(forwarded, outcome);
+    if (!outcome.transaction_finished) {
+        running.mapped().used = steady_clock().now();
+        m_transactions.insert(std::move(running));
+    }
     co_return outcome;
 }
 
 void gateway_service::end_transaction(std::uint64_t id) {
     const auto found = m_transactions.find(id);
-    if (found != m_transactions.end() && !found->second.running) {
+    if (found != m_transactions.end()) {
         found->second.transaction->roll_back();
         m_transactions.erase(found);
     }
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -30,7 +30,7 @@
     /// Rejects new statements and transactions from now on; open transactions may continue.
     void leave() noexcept { m_leaving = true; }
 
-    /// Rolls back the open transactions in which no statement is running.
+    /// Rolls back the open transactions, except those in which a statement is running.
     void abort_transactions();
 
     /// The endpoint on which the service listens.
@@ -46,7 +46,6 @@
         std::unique_ptr<statement_transaction> transaction;
         account_name account;
         clock::time_point used{};
-        bool running = false;
     };
 
     [[nodiscard]] boost::asio::awaitable<std::string> run(std::string params);
@@ -55,7 +54,7 @@
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome> execute(forwarded_statement forwarded);
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
     execute_next(forwarded_statement forwarded, statement_run run);
-    /// Rolls the transaction back, if it is open and no statement is running in it.
+    /// Rolls the transaction back, unless a statement is running in it.
     void end_transaction(std::uint64_t id);
     /// An id that no transaction has had, also not before a restart of this instance.
     [[nodiscard]] std::uint64_t new_transaction_id();
@@ -64,6 +63,8 @@
     boost::asio::any_io_executor m_executor;
     traffic_context& m_context;
     std::unique_ptr<links::peer_server> m_server;
+    /// The open transactions in which no statement is running. A running statement owns its
+    /// transaction, so that an error ends both.
     std::map<std::uint64_t, held_transaction> m_transactions;
     std::unique_ptr<random_source> m_random = make_random_source();
     int m_running_statements = 0;
--- a/src/entry/internal/statement_executor.h
+++ b/src/entry/internal/statement_executor.h
@@ -8,7 +8,8 @@
 
 namespace oriole::entry {
 
-/// A client's open transaction, here or at a gateway. Not thread-safe; used on the traffic thread.
+/// A client's open transaction, here or at a gateway. One that is destroyed here while it is open
+/// is rolled back. Not thread-safe; used on the traffic thread.
 class statement_transaction {
 public:
     virtual ~statement_transaction() = default;
--- a/src/entry/internal/statement_runner.cpp
+++ b/src/entry/internal/statement_runner.cpp
@@ -37,6 +37,12 @@
 
 } // namespace
 
+open_transaction::~open_transaction() {
+    if (connection != nullptr) {
+        pool->discard(std::move(connection));
+    }
+}
+
 asio::awaitable<run_outcome> statement_runner::run_autocommit(service_traffic& service,
                                                               statement_run run) {
     const bool writes = run.decision.writes;
--- a/src/entry/internal/statement_runner.h
+++ b/src/entry/internal/statement_runner.h
@@ -27,8 +27,14 @@
     clock::time_point arrived{};
 };
 
-/// A client's open transaction on its connection to a server.
+/// A client's open transaction on its connection to a server. Destroying it closes the connection,
+/// which rolls the transaction back, unless the connection was returned to the pool.
 struct open_transaction {
+    open_transaction() = default;
+    ~open_transaction();
+    open_transaction(const open_transaction&) = delete;
+    open_transaction& operator=(const open_transaction&) = delete;
+
     pool_ptr pool;
     std::unique_ptr<pooled_connection> connection;
     bool at_primary = false; ///< begun as a read-write transaction
--- a/src/entry/tests/gateway_service_test.cpp
+++ b/src/entry/tests/gateway_service_test.cpp
@@ -122,6 +122,27 @@
     EXPECT_EQ(m_primary.statements, 1);
 }
 
+// Guards against a transaction that stays open at the gateway, with its locks and its connection,
+// because an error left it marked as running a statement.
+TEST_F(gateway_service_test, transaction_ends_with_an_unexpected_error_of_the_gateway) {
+    ASSERT_EQ(begin("WRITE a b").answer.code, answer_code::ok);
+    ASSERT_FALSE(m_gateway.idle());
+    m_primary.fails_on = command_kind::caller_statement;
+    EXPECT_EQ(next("WRITE a c").answer.code, answer_code::aborted);
+    EXPECT_TRUE(m_gateway.idle());
+    EXPECT_EQ(m_primary.connections, 0);
+}
+
+// Guards against a transaction that is no longer found after its first statement.
+TEST_F(gateway_service_test, transaction_runs_at_the_gateway_until_its_commit) {
+    ASSERT_EQ(begin("WRITE a b").answer.code, answer_code::ok);
+    ASSERT_EQ(next("WRITE a c").answer.code, answer_code::ok);
+    EXPECT_FALSE(m_gateway.idle());
+    EXPECT_EQ(next("COMMIT").answer.code, answer_code::ok);
+    EXPECT_TRUE(m_gateway.idle());
+    EXPECT_EQ(m_primary.opened, 1);
+}
+
 // Guards against a statement that no instance runs, because its gateway is shutting down.
 TEST_F(gateway_service_test, write_that_a_leaving_gateway_refuses_runs_elsewhere) {
     m_gateway.leave();
