Answer a statement by what was sent after an unexpected error

What callers saw: a connection that ends without an answer (event=session_failed) after an unexpected error while a statement was running. The server connection stayed counted in the pool, so that the pool could run out, and its unanswered command could make the server look as if it failed. Found by reading.

An error that a server connection does not announce now counts as a broken one that says nothing of the server: the connection is closed and discarded, a read runs elsewhere, a write is in doubt. After an error elsewhere in a statement the session gives the answer that a planned stop would give, rolls back, and then ends.

Evidence: the two new tests of caller_service_test fail before (no answer, the connection stays open) and pass now.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -231,11 +231,24 @@
     run.own_commit = m_session.last_commit();
     run.statement = std::move(statement);
     m_run = &run;
-    run_outcome outcome = co_await this->run(run);
+    run_outcome outcome;
+    bool has_outcome = false;
+    try {
+        outcome = co_await this->run(run);
+        has_outcome = true;
+    } catch (const std::exception& unexpected) {
+        log_end("session_failed", unexpected.what());
+    }
     if (m_run != &run) {
         co_return next_step::served_by_finish;
     }
     m_run = nullptr;
+    if (!has_outcome) {
+        outcome = end_without_result(run, m_admitted);
+        outcome.routing_basis = "error";
+        roll_back();
+        end_soon();
+    }
     outcome.answer.state = m_session.state();
     record_outcome(run, outcome);
     const bool is_last = ends_with_next_answer();
--- a/src/entry/internal/checked_connector.cpp
+++ b/src/entry/internal/checked_connector.cpp
@@ -29,6 +29,10 @@
         } catch (const unexpected_answer& unexpected) {
             report(unexpected.what());
             throw;
+        } catch (const server_unreachable&) {
+            throw;
+        } catch (const std::exception& failure) {
+            give_up(failure);
         }
         if (answer.code == sessions::answer_code::ok &&
             answer.state != sessions::transaction_state::none) {
@@ -45,7 +49,13 @@
         for (const auto& command : commands) {
             m_matcher.sent(command);
         }
-        co_await m_channel->send(std::move(commands), limit);
+        try {
+            co_await m_channel->send(std::move(commands), limit);
+        } catch (const server_unreachable&) {
+            throw;
+        } catch (const std::exception& failure) {
+            give_up(failure);
+        }
     }
 
     asio::awaitable<server_answer> receive(clock::duration limit) override {
@@ -55,6 +65,10 @@
         } catch (const unexpected_answer& unexpected) {
             report(unexpected.what());
             throw;
+        } catch (const server_unreachable&) {
+            throw;
+        } catch (const std::exception& failure) {
+            give_up(failure);
         }
         if (const auto mismatch = m_matcher.received(answer)) {
             reject(to_string(*mismatch));
@@ -97,6 +111,12 @@
         throw unexpected_answer(text);
     }
 
+    /// After an error that is not the server's, nothing is known of the commands on the way.
+    [[noreturn]] void give_up(const std::exception& failure) {
+        report(failure.what());
+        throw unexpected_answer(std::string("the answer cannot be processed: ") + failure.what());
+    }
+
     /// Logs and counts that the connection is given up, once.
     void report(std::string_view reason) {
         if (std::exchange(m_reported, true)) {
--- a/src/entry/server_channel.h
+++ b/src/entry/server_channel.h
@@ -54,7 +54,8 @@
 };
 
 /// One connection to a backend server. The server answers commands, that is, protocol messages, in
-/// the sequence in which they were sent. Not thread-safe.
+/// the sequence in which they were sent. Not thread-safe. checked_connector turns an exception
+/// other than server_unreachable into unexpected_answer.
 class server_channel {
 public:
     virtual ~server_channel() = default;
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <deque>
@@ -84,6 +83,22 @@
     bool closed = false;
 };
 
+/// A log that fails to write the lines of one event.
+class failing_log final : public decision_log {
+public:
+    void write(const log_entry& entry) override {
+        if (!event.empty() && entry.text().find("event=" + event) != std::string::npos) {
+            throw std::runtime_error("planted");
+        }
+    }
+
+    void flush() override {}
+
+    [[nodiscard]] std::uint64_t dropped() const override { return 0; }
+
+    std::string event; ///< empty for none
+};
+
 class caller_service_test : public testing::Test {
 protected:
     caller_service_test() {
@@ -137,12 +152,17 @@
         m_io.run();
     }
 
+    void give_account(const account_name& account) {
+        m_view.accounts_by_key =
+            std::make_shared<const fleet::key_index>(fleet::key_index{{"key", account}});
+        m_context.apply(std::make_shared<const fleet::fleet_view>(m_view));
+    }
+
     /// Gives the client an account whose operations a coordinator at `address` admits.
     void coordinate_rates_at(const endpoint& address) {
         const account_name account("acme");
-        m_view.accounts_by_key =
-            std::make_shared<const fleet::key_index>(fleet::key_index{{"key", account}});
         m_view.shares[account] = {1000.0, 1000.0};
+        give_account(account);
         fleet::registered_instance coordinator;
         coordinator.id = instance_id("coordinator");
         coordinator.gateway_address = address;
@@ -181,9 +201,9 @@
     fleet::fleet_view m_view;
     boost::asio::io_context m_io;
     fake_servers m_servers;
-    std::unique_ptr<decision_log> m_log = make_decision_log(::dup(STDERR_FILENO));
+    failing_log m_log;
     metric_registry m_metrics;
-    traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), *m_log, m_metrics};
+    traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), m_log, m_metrics};
     bool m_open_at_end = false; ///< the client was still connected when serve() ended
     std::shared_ptr<fake_caller> m_caller = std::make_shared<fake_caller>();
     std::shared_ptr<caller_service> m_session =
@@ -197,6 +217,30 @@
     EXPECT_TRUE(m_caller->closed);
 }
 
+// Guards against a write that gets no answer, or runs a second time, because of an unexpected error
+// on the connection to its server, and against connections that stay counted as open.
+TEST_F(caller_service_test, unexpected_error_of_a_connection_leaves_its_write_in_doubt) {
+    auto& server = m_servers.at("primary");
+    server.fails_on = sessions::command_kind::caller_statement;
+    send({sessions::statement_kind::write, sessions::statement_kind::write,
+          sessions::statement_kind::write});
+    serve();
+    EXPECT_EQ(m_caller->codes, std::vector(3, answer_code::in_doubt));
+    EXPECT_EQ(server.statements, 3);
+    EXPECT_EQ(server.connections, 0);
+}
+
+// Guards against a statement that gets no answer because of an unexpected error before it was sent.
+TEST_F(caller_service_test, unexpected_error_of_a_statement_is_answered_and_ends_the_session) {
+    give_account(account_name("acme")); // It has no share of a rate, which is logged.
+    m_log.event = "rate_refused";
+    send({sessions::statement_kind::write, sessions::statement_kind::write});
+    serve();
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_TRUE(m_caller->ended);
+    EXPECT_TRUE(m_servers.at("primary").received.empty());
+}
+
 // Guards against a client that sends its next statement to a session that ends, because the end of
 // the stream comes after the answer.
 TEST_F(caller_service_test, ending_session_ends_its_stream_with_the_answer) {
