Ask again when the answer to a PAUSE is lost

What callers could see: acknowledged commits lost by a change of primary where commits need a replica. No such case is recorded; found by reading.

Cause: a connection that ended after PAUSE was sent counted as "the server has no such command", and the position from before the command was used. The replica may have received commits since, or may have ended. Replicas were also listed anew for each question and compared by index, although the list may change in between.

A lost answer is told from a refusal now. The PAUSE is sent again; a server that ends a second connection on it, or refuses it, counts with the position that it answers to a STATUS after that, and not at all without an answer. The replicas are listed once.

What remains: two PAUSE commands in a row that are lost before they take effect look like a server without the command.

--- a/src/entry/internal/replica_survey.cpp
+++ b/src/entry/internal/replica_survey.cpp
@@ -45,14 +45,16 @@
     if (change.synchronous_replicas == 0) {
         co_return co_await ask(std::move(change));
     }
-    const auto asked = co_await send(replicas_of(change), make_command(command_kind::status));
+    const auto replicas = replicas_of(change);
+    const auto asked = co_await send(replicas, make_command(command_kind::status));
     const auto term = std::max(m_fleet.primary_monitor_of(service).term(), asked.highest_term) + 1;
-    auto paused =
-        co_await send(replicas_of(change), make_command(command_kind::pause_receiving, term));
-    for (std::size_t i = 0; i < paused.logs.size(); ++i) {
-        if (paused.rejected[i]) {
-            // It cannot be paused, or it has ended since it was asked.
-            paused.logs[i].received = asked.logs[i].received;
+    const auto pause = make_command(command_kind::pause_receiving, term);
+    auto paused = co_await send(replicas, pause);
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+        if (paused.outcomes[i] == query_outcome::refused ||
+            paused.outcomes[i] == query_outcome::lost) {
+            paused.logs[i].received =
+                co_await received_after(paused.outcomes[i], replicas[i].server, pause);
         }
     }
     auto old = co_await ask_old_primary(std::move(change));
@@ -60,6 +62,22 @@
     co_return std::move(paused.logs);
 }
 
+asio::awaitable<std::optional<machines::log_position>>
+replica_survey::received_after(query_outcome outcome, fleet::registered_server server,
+                               server_command pause) {
+    query_result answer;
+    answer.outcome = outcome;
+    if (outcome == query_outcome::lost) {
+        // If the first one has taken effect, the second one only returns the position.
+        answer = co_await ask_one(server, std::move(pause));
+    }
+    if (answer.outcome == query_outcome::refused || answer.outcome == query_outcome::lost) {
+        // A position from before the command may lack commits that were acknowledged since.
+        answer = co_await ask_one(std::move(server), make_command(command_kind::status));
+    }
+    co_return answer.status ? std::optional(answer.status->received) : std::nullopt;
+}
+
 asio::awaitable<void> replica_survey::resume(fleet::primary_change change) {
     static_cast<void>(
         co_await send(replicas_of(change), make_command(command_kind::resume_receiving)));
@@ -108,20 +126,25 @@
     answers result;
     for (const auto& [server, is_leaving] : replicas) {
         fleet::replica_log log{server.id, is_leaving, std::nullopt, false};
-        bool rejected = false;
-        if (!m_is_refused(server.id)) {
-            const auto answer =
-                co_await m_queries.query(server, m_fleet.any_account(), command, query_timeout);
-            if (answer.status) {
-                log.received = answer.status->received;
-                result.highest_term = std::max(result.highest_term, answer.status->term);
-            }
-            rejected = answer.rejected;
+        const auto answer = co_await ask_one(server, command);
+        if (answer.status) {
+            log.received = answer.status->received;
+            result.highest_term = std::max(result.highest_term, answer.status->term);
         }
         result.logs.push_back(std::move(log));
-        result.rejected.push_back(rejected);
+        result.outcomes.push_back(answer.outcome);
     }
     co_return result;
 }
 
+asio::awaitable<query_result> replica_survey::ask_one(fleet::registered_server server,
+                                                      server_command command) {
+    if (m_is_refused(server.id)) {
+        co_return query_result{};
+    }
+    auto answer = co_await m_queries.query(std::move(server), m_fleet.any_account(),
+                                           std::move(command), query_timeout);
+    co_return answer;
+}
+
 } // namespace oriole::entry
--- a/src/entry/internal/replica_survey.h
+++ b/src/entry/internal/replica_survey.h
@@ -32,7 +32,8 @@
 
     /// As ask(), and stops the replicas that answer from receiving, until a promotion or resume():
     /// a primary that is not lost after all gets no commit acknowledged by them any more. Pauses
-    /// none where commits need no replica. A replica that has no such command is asked only.
+    /// none where commits need no replica. A replica that has no such command is asked only; it
+    /// refuses the command, or ends two connections on it and then still answers.
     [[nodiscard]] boost::asio::awaitable<std::vector<fleet::replica_log>>
     ask_and_pause(service_name service, fleet::primary_change change);
 
@@ -49,7 +50,7 @@
 
     struct answers {
         std::vector<fleet::replica_log> logs;
-        std::vector<bool> rejected; ///< by log: whether the server has no such command
+        std::vector<query_outcome> outcomes; ///< by log
         std::uint64_t highest_term = 0;
 
         friend bool operator==(const answers&, const answers&) = default;
@@ -59,6 +60,12 @@
     [[nodiscard]] std::vector<replica> replicas_of(const fleet::primary_change& change) const;
     [[nodiscard]] boost::asio::awaitable<answers> send(std::vector<replica> replicas,
                                                        sessions::server_command command);
+    [[nodiscard]] boost::asio::awaitable<query_result> ask_one(fleet::registered_server server,
+                                                               sessions::server_command command);
+    /// The log of a replica whose answer to `pause` is missing.
+    [[nodiscard]] boost::asio::awaitable<std::optional<machines::log_position>>
+    received_after(query_outcome outcome, fleet::registered_server server,
+                   sessions::server_command pause);
     /// The log of an old primary that is no primary any more. Empty otherwise.
     [[nodiscard]] boost::asio::awaitable<std::vector<fleet::replica_log>>
     ask_old_primary(fleet::primary_change change);
--- a/src/entry/internal/server_queries.cpp
+++ b/src/entry/internal/server_queries.cpp
@@ -10,6 +10,21 @@
 namespace asio = boost::asio;
 using sessions::server_command;
 
+namespace {
+
+query_result result_from(const sessions::server_answer& answer) {
+    query_result result;
+    result.status = answer.status;
+    if (answer.status) {
+        result.outcome = query_outcome::answered;
+    } else if (answer.code == sessions::answer_code::malformed) {
+        result.outcome = query_outcome::refused;
+    }
+    return result;
+}
+
+} // namespace
+
 server_queries::server_queries(asio::any_io_executor executor, server_connector& connector,
                                decision_log& log)
     : m_executor(std::move(executor)), m_connector(connector), m_log(log) {}
@@ -29,8 +44,7 @@
             co_await channel->send(std::move(commands), step_timeout);
             sent = true;
             const auto answer = co_await channel->receive(step_timeout);
-            result.status = answer.status;
-            result.rejected = answer.code == sessions::answer_code::malformed;
+            result = result_from(answer);
         }
     } catch (const unexpected_answer& unexpected) {
         failure = unexpected.what();
@@ -38,7 +52,7 @@
         failure = timeout.what();
     } catch (const server_unreachable& unreachable) {
         failure = unreachable.what();
-        result.rejected = sent;
+        result.outcome = sent ? query_outcome::lost : query_outcome::no_answer;
     }
     channel->close();
     log_answer(server.id, result.status, failure);
--- a/src/entry/internal/server_queries.h
+++ b/src/entry/internal/server_queries.h
@@ -16,11 +16,18 @@
 
 namespace oriole::entry {
 
+/// What became of a command that returns a status row.
+enum class query_outcome {
+    answered, ///< the server answered with its status
+    refused,  ///< the server answered that it has no such command
+    lost,     ///< the connection ended after the command was sent; it may have taken effect
+    no_answer ///< not sent, not answered in time, or answered without a status
+};
+
 /// A server's reaction to a command that returns a status row.
 struct query_result {
-    std::optional<sessions::server_status> status; ///< nullopt when there was none in time
-    /// The server closed the connection on the command, or answered that it has no such command.
-    bool rejected = false;
+    query_outcome outcome = query_outcome::no_answer;
+    std::optional<sessions::server_status> status; ///< set if answered
 
     friend bool operator==(const query_result&, const query_result&) = default;
 };
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -224,7 +224,7 @@
     const auto result = run_coroutine(
         m_io, queries.query(fake_listed("primary", "far"), account_name("t"), command, 100ms));
     EXPECT_FALSE(result.status);
-    EXPECT_FALSE(result.rejected);
+    EXPECT_EQ(result.outcome, query_outcome::no_answer);
 }
 
 // Guards against an operator who cannot tell a repeated answer from a lost connection, and against
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <stdexcept>
@@ -26,6 +27,9 @@
     bool refuses_connections = false;
     /// The connection breaks when the answer to this kind of command is due.
     std::optional<sessions::command_kind> breaks_on;
+    std::function<void()> on_break; ///< called when the connection breaks; may change the script
+    std::optional<sessions::command_kind>
+        rejects; ///< this kind of command is answered as malformed
     std::optional<sessions::command_kind> no_answer_to; ///< this kind of command is never answered
     /// The channel fails with an error that it does not announce, once this kind of command has
     /// run.
@@ -94,6 +98,9 @@
             }
             const auto command = m_due.front();
             if (m_script->breaks_on == command.kind) {
+                if (m_script->on_break) {
+                    m_script->on_break();
+                }
                 throw server_unreachable("fake server broke the connection");
             }
             if (m_script->no_answer_to == command.kind) {
@@ -151,6 +158,12 @@
             if (command.kind == command_kind::pause_receiving) {
                 answer.rows = m_script->claimed_status_rows;
             }
+            if (m_script->rejects == command.kind) {
+                answer.code = answer_code::malformed;
+            } else if (command.kind == command_kind::status ||
+                       command.kind == command_kind::pause_receiving) {
+                answer.status = {m_script->primary, m_script->position.term(), m_script->position};
+            }
             const bool runs_statement = command.kind == command_kind::caller_statement ||
                                         command.kind == command_kind::execute;
             if (runs_statement && m_script->busy_statements > 0) {
