Refuse what was not sent when the grace period ends

What callers saw: INDOUBT for a write that waited for a connection to its server, or for its next attempt after a refusal, 0.55 s before the end of the grace period; and the write was sent afterwards.

Cause: only the router knew whether a statement had been sent, so the session assumed that it had. statement_handover, which both share, now records when a statement is handed to a server or a gateway and when an attempt ended without effect. Ending a session withdraws the statement: one that was not handed over is told BUSY, and no statement is sent after its withdrawal. A gateway does the same with the statements of other instances, which then run them elsewhere; the waiters of the pools are woken for it.

What remains: a write that was forwarded and waits at the gateway is INDOUBT when the instance of its caller ends, since only the gateway knows.

The class StopAnswersTest keeps its tests; what both need moved to a common base class.

--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -117,7 +117,8 @@
         return;
     }
     const statement_run& run = *std::exchange(m_run, nullptr);
-    auto outcome = end_without_result(run, m_admitted);
+    const bool unsent = run.handover->withdraw();
+    auto outcome = end_without_result(run, m_admitted && !unsent);
     record_outcome(run, outcome);
     m_served_by_finish = true;
     asio::co_spawn(
@@ -244,7 +245,8 @@
     }
     m_run = nullptr;
     if (!has_outcome) {
-        outcome = end_without_result(run, m_admitted);
+        const bool unsent = run.handover->withdraw();
+        outcome = end_without_result(run, m_admitted && !unsent);
         outcome.routing_basis = "error";
         roll_back();
         end_soon();
--- a/src/entry/internal/forwarding_executor.cpp
+++ b/src/entry/internal/forwarding_executor.cpp
@@ -54,6 +54,14 @@
     return outcome;
 }
 
+/// The outcome of a statement that is not sent to a gateway, because it was withdrawn.
+run_outcome withdrawn_outcome(answer_code code) {
+    run_outcome outcome;
+    outcome.answer.code = code;
+    outcome.routing_basis = "withdrawn";
+    return outcome;
+}
+
 /// The answer code when a gateway accepted a statement whose changes may have been committed, and
 /// then did not answer.
 answer_code code_without_answer(const run_budget& budget) {
@@ -79,6 +87,12 @@
         m_wrote = m_wrote || run.decision.writes;
         run_outcome outcome;
         bool no_answer = false;
+        if (!run.handover->hand_over()) {
+            m_calls.roll_back(m_gateway, m_transaction_id);
+            outcome = withdrawn_outcome(answer_code::aborted);
+            outcome.transaction_finished = true;
+            co_return outcome;
+        }
         try {
             auto answer = co_await m_calls.run(m_gateway, std::move(forwarded),
                                                budget.deadline() + answer_margin);
@@ -122,6 +136,9 @@
             deadline = std::min(deadline, steady_clock().now() + gateway_read_timeout);
         }
         bool no_answer = false;
+        if (!run.handover->hand_over()) {
+            co_return withdrawn_outcome(answer_code::busy);
+        }
         try {
             auto forwarded = forwarded_from(run, transaction_phase::autocommit);
             auto answer = co_await m_calls.run(gateway, std::move(forwarded), deadline);
@@ -134,6 +151,7 @@
         if (no_answer && run.decision.writes) {
             co_return outcome_without_answer(code_without_answer(budget), gateway.id);
         }
+        run.handover->take_back();
         if (steady_clock().now() >= budget.deadline()) {
             co_return outcome_without_answer(answer_code::timed_out, gateway.id);
         }
@@ -148,6 +166,9 @@
     const bool commits = run.statement.kind == sessions::statement_kind::commit;
     for (const auto& gateway : usable_gateways()) {
         bool no_answer = false;
+        if (!run.handover->hand_over()) {
+            co_return withdrawn_outcome(answer_code::busy);
+        }
         try {
             auto forwarded = forwarded_from(run, transaction_phase::first);
             forwarded.reads_only = reads_only;
@@ -171,6 +192,7 @@
             co_return outcome_without_answer(
                 commits ? code_without_answer(budget) : answer_code::aborted, gateway.id);
         }
+        run.handover->take_back();
     }
     co_return co_await m_local.run_first(std::move(run), reads_only, transaction);
 }
--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -21,18 +21,26 @@
 /// transaction may have stopped without a rollback.
 constexpr clock::duration default_idle_limit = 30s;
 
-/// Scope guard that increments the counter of running statements during its lifetime.
+/// Scope guard that keeps a statement in the set of running ones during its lifetime.
 class running_statement {
 public:
-    explicit running_statement(int& count) : m_count(count) { ++m_count; }
+    using handover_set = std::set<std::shared_ptr<statement_handover>>;
 
-    ~running_statement() { --m_count; }
+    running_statement(handover_set& running, std::shared_ptr<statement_handover> handover)
+        : m_running(running), m_handover(std::move(handover)) {
+        m_running.insert(m_handover);
+    }
+
+    ~running_statement() { m_running.erase(m_handover); }
+
+    [[nodiscard]] bool withdrawn_unsent() const noexcept { return m_handover->withdrawn_unsent(); }
 
     running_statement(const running_statement&) = delete;
     running_statement& operator=(const running_statement&) = delete;
 
 private:
-    int& m_count;
+    handover_set& m_running;
+    std::shared_ptr<statement_handover> m_handover;
 };
 
 /// Throws links::peer_call_refused.
@@ -93,6 +101,12 @@
     }
 }
 
+void gateway_service::withdraw_waiting() {
+    for (const auto& handover : m_running) {
+        handover->withdraw();
+    }
+}
+
 void gateway_service::abort_transactions() {
     for (const auto& [id, held] : m_transactions) {
         held.transaction->roll_back();
@@ -111,7 +125,6 @@
         end_transaction(forwarded.transaction);
         throw links::peer_call_refused("the time limit of the statement is over");
     }
-    const running_statement counted(m_running_statements);
     auto outcome = co_await execute(std::move(forwarded));
     co_return encode_outcome(outcome);
 }
@@ -139,6 +152,7 @@
     run.values = forwarded.values;
     run.own_commit = forwarded.own_commit;
     run.arrived = steady_clock().now() - forwarded.elapsed;
+    const running_statement counted(m_running, run.handover);
     if (forwarded.phase == transaction_phase::next) {
         co_return co_await execute_next(std::move(forwarded), std::move(run));
     }
@@ -157,6 +171,9 @@
         }
     }
     log_failure(forwarded, outcome);
+    if (counted.withdrawn_unsent()) {
+        throw links::peer_call_refused("the instance is shutting down");
+    }
     co_return outcome;
 }
 
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace oriole::entry {
@@ -30,6 +31,10 @@
     /// Rejects new statements and transactions from now on; open transactions may continue.
     void leave() noexcept { m_leaving = true; }
 
+    /// Refuses the statements that have not been sent to a server yet, so that the other instance
+    /// runs them elsewhere instead of not getting an answer.
+    void withdraw_waiting();
+
     /// Rolls back the open transactions, except those in which a statement is running.
     void abort_transactions();
 
@@ -37,9 +42,7 @@
     [[nodiscard]] endpoint address() const { return m_server->address(); }
 
     /// Returns whether no statement is running and no transaction is open for another instance.
-    [[nodiscard]] bool idle() const noexcept {
-        return m_running_statements == 0 && m_transactions.empty();
-    }
+    [[nodiscard]] bool idle() const noexcept { return m_running.empty() && m_transactions.empty(); }
 
 private:
     struct held_transaction {
@@ -67,7 +70,7 @@
     /// transaction, so that an error ends both.
     std::map<std::uint64_t, held_transaction> m_transactions;
     std::unique_ptr<random_source> m_random = make_random_source();
-    int m_running_statements = 0;
+    std::set<std::shared_ptr<statement_handover>> m_running; ///< of the running statements
     bool m_leaving = false;
 };
 
--- a/src/entry/internal/server_pool.cpp
+++ b/src/entry/internal/server_pool.cpp
@@ -240,6 +240,10 @@
 void server_pool::close() {
     close_idle_since(clock::time_point::max());
     m_limit = 0;
+    refuse_waiting();
+}
+
+void server_pool::refuse_waiting() {
     for (const auto& waiter : m_waiters) {
         waiter->refused = true;
         waiter->timer.cancel();
--- a/src/entry/internal/server_pool.h
+++ b/src/entry/internal/server_pool.h
@@ -108,6 +108,9 @@
     /// they do not use up the server's connection limit, which all instances share.
     void close_unused(clock::time_point now);
 
+    /// Refuses the waiting requests.
+    void refuse_waiting();
+
     /// Closes the idle connections and refuses the waiting requests.
     void close();
 
--- a/src/entry/internal/service_traffic.cpp
+++ b/src/entry/internal/service_traffic.cpp
@@ -91,6 +91,12 @@
     }
 }
 
+void service_traffic::refuse_waiting() {
+    for (const auto& [id, pool] : m_pools) {
+        pool->refuse_waiting();
+    }
+}
+
 pool_ptr service_traffic::primary() const {
     return m_primary != nullptr && may_use_as_primary(*m_primary) ? m_primary : nullptr;
 }
--- a/src/entry/internal/service_traffic.h
+++ b/src/entry/internal/service_traffic.h
@@ -74,6 +74,9 @@
     /// the primary.
     void record_not_leading(clock::time_point now);
 
+    /// Refuses the requests that wait for a connection.
+    void refuse_waiting();
+
     /// Waits until another server becomes the primary, or until `deadline`.
     [[nodiscard]] boost::asio::awaitable<void> wait_for_primary(clock::time_point deadline);
 
--- a/src/entry/internal/statement_router.cpp
+++ b/src/entry/internal/statement_router.cpp
@@ -73,7 +73,7 @@
             continue;
         }
         auto outcome = co_await try_read(pool, required, transaction);
-        if (!may_retry(outcome.answer.code) || m_budget.expired(steady_clock().now())) {
+        if (!may_try_again(outcome)) {
             co_return outcome;
         }
         m_last_outcome = std::move(outcome);
@@ -102,7 +102,7 @@
             continue;
         }
         auto outcome = co_await try_primary(pool, transaction);
-        if (!may_retry(outcome.answer.code) || m_budget.expired(steady_clock().now())) {
+        if (!may_try_again(outcome)) {
             co_return outcome;
         }
         m_last_outcome = std::move(outcome);
@@ -125,9 +125,17 @@
     return m_last_outcome ? std::move(*m_last_outcome) : refusal(code);
 }
 
+bool statement_router::may_try_again(const run_outcome& outcome) {
+    if (!may_retry(outcome.answer.code)) {
+        return false;
+    }
+    m_run.handover->take_back();
+    return !m_run.handover->withdrawn() && !m_budget.expired(steady_clock().now());
+}
+
 asio::awaitable<bool> statement_router::wait_for_primary() {
     const auto now = steady_clock().now();
-    if (m_budget.expired(now)) {
+    if (m_run.handover->withdrawn() || m_budget.expired(now)) {
         co_return false;
     }
     co_await m_service.wait_for_primary(std::min(m_budget.attempt_deadline(), now + retry_pause));
@@ -172,6 +180,10 @@
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, required);
     }
+    if (!m_run.handover->hand_over()) {
+        pool->release(std::move(grant.connection));
+        co_return with_server(refusal(answer_code::busy), *pool, required);
+    }
     const bool error_may_be_repeated = grant.connection->channel->only_for_reads();
     const auto now = steady_clock().now();
     const bool may_use_another_server = required && !begins;
@@ -238,6 +250,10 @@
     if (!grant.connection) {
         co_return with_server(refusal(grant.refusal), *pool, std::nullopt);
     }
+    if (!m_run.handover->hand_over()) {
+        pool->release(std::move(grant.connection));
+        co_return with_server(refusal(answer_code::busy), *pool, std::nullopt);
+    }
     exchange_plan plan;
     plan.values = m_run.values;
     plan.shape = m_run.decision.shape;
--- a/src/entry/internal/statement_router.h
+++ b/src/entry/internal/statement_router.h
@@ -41,6 +41,9 @@
 
     [[nodiscard]] run_outcome last_outcome(sessions::answer_code code);
 
+    /// Returns whether the statement may be tried again after an attempt that ended so.
+    [[nodiscard]] bool may_try_again(const run_outcome& outcome);
+
     [[nodiscard]] boost::asio::awaitable<bool> wait_for_primary();
 
     [[nodiscard]] boost::asio::awaitable<bool> pause() { return wait_for_primary(); }
--- a/src/entry/internal/statement_runner.cpp
+++ b/src/entry/internal/statement_runner.cpp
@@ -22,14 +22,14 @@
 /// Time limit for sending a rollback in the background.
 constexpr clock::duration rollback_limit = 400ms;
 
-/// Ends a transaction whose server may no longer be the primary. Closing the connection rolls back
-/// what is open on it.
-run_outcome abandon(open_transaction& transaction, answer_code code) {
+/// Ends a transaction without the answer of its server. Closing the connection rolls back what is
+/// open on it.
+run_outcome abandon(open_transaction& transaction, answer_code code, std::string reason) {
     run_outcome outcome;
     outcome.answer.code = code;
     outcome.server = transaction.pool->server().id;
     outcome.attempts = 1;
-    outcome.routing_basis = "lease_ended";
+    outcome.routing_basis = std::move(reason);
     outcome.transaction_finished = true;
     transaction.pool->discard(std::move(transaction.connection));
     return outcome;
@@ -76,7 +76,10 @@
     plan.writes = run.decision.writes || commits;
     auto& pool = *transaction.pool;
     if (transaction.at_primary && !service.may_use_as_primary(pool)) {
-        co_return abandon(transaction, answer_code::aborted);
+        co_return abandon(transaction, answer_code::aborted, "lease_ended");
+    }
+    if (!run.handover->hand_over()) {
+        co_return abandon(transaction, answer_code::aborted, "withdrawn");
     }
     auto result = co_await exchange(pool, *transaction.connection, std::move(plan),
                                     budget.deadline() - steady_clock().now());
@@ -86,7 +89,8 @@
         !service.may_use_as_primary(pool)) {
         // The answer may be that of a server that was no longer the primary.
         co_return abandon(transaction,
-                          may_be_committed ? answer_code::in_doubt : answer_code::aborted);
+                          may_be_committed ? answer_code::in_doubt : answer_code::aborted,
+                          "lease_ended");
     }
     run_outcome outcome;
     outcome.answer = std::move(result.answer);
--- a/src/entry/internal/statement_runner.h
+++ b/src/entry/internal/statement_runner.h
@@ -6,6 +6,7 @@
 #include "base/metric_registry.h"
 #include "entry/internal/server_exchange.h"
 #include "entry/internal/service_traffic.h"
+#include "entry/internal/statement_handover.h"
 #include "fleet/types/configuration.h"
 #include "sessions/caller_session.h"
 
@@ -25,6 +26,8 @@
     sessions::session_values values;
     std::optional<machines::log_position> own_commit;
     clock::time_point arrived{};
+    /// Shared by all copies. Not null.
+    std::shared_ptr<statement_handover> handover = std::make_shared<statement_handover>();
 };
 
 /// A client's open transaction on its connection to a server. Destroying it closes the connection,
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -197,6 +197,12 @@
     }
 }
 
+void traffic_context::refuse_waiting() {
+    for (const auto& [name, known] : m_services) {
+        known->traffic.refuse_waiting();
+    }
+}
+
 traffic_report traffic_context::collect_report() {
     m_suspensions.record_turn(boot_clock().now());
     traffic_report report;
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -68,6 +68,9 @@
     /// Returns the executor for statements that other instances forward.
     [[nodiscard]] statement_executor& gateway_for(const service_name& name);
 
+    /// Refuses the requests that wait for a connection to a server.
+    void refuse_waiting();
+
     /// Builds the report for the control thread and starts a new report interval.
     [[nodiscard]] traffic_report collect_report();
 
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -159,6 +159,8 @@
             for (const auto& session : sessions) {
                 session->end_now();
             }
+            m_gateway.withdraw_waiting();
+            m_context.refuse_waiting();
         }
         end_next(sessions, group);
         co_await pause(end_interval);
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -137,6 +137,11 @@
 
     void serve() { static_cast<void>(run_coroutine(m_io, serve_session(m_session))); }
 
+    void allow_one_connection() {
+        m_view.servers[service_name("db")].front().connections = {1, 1};
+        m_context.apply(std::make_shared<const fleet::fleet_view>(m_view));
+    }
+
     /// Serves the session until the server has received `text`, and then ends the session while the
     /// server has not answered yet.
     void serve_and_end_while_server_runs(const std::string& text) {
@@ -331,6 +336,47 @@
     EXPECT_TRUE(m_servers.at("primary").received.empty());
 }
 
+// Guards against a write that waits for a connection to its server when the grace period of a stop
+// ends, and is told that it may have run, or is sent afterwards.
+TEST_F(caller_service_test, session_that_ends_now_sends_nothing_that_waits_for_a_connection) {
+    allow_one_connection();
+    const auto caller = std::make_shared<fake_caller>();
+    caller->statements.push_back(make(sessions::statement_kind::read));
+    const auto running = std::make_shared<caller_service>(m_context, caller);
+    m_servers.at("primary").answer_delay = 20ms;
+    boost::asio::co_spawn(m_io, serve_session(running), boost::asio::detached);
+    send({sessions::statement_kind::write});
+    boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+    while (!server_received_text("READ a")) {
+        ASSERT_EQ(m_io.run_one_for(10s), 1U);
+    }
+    m_io.poll();
+    ASSERT_EQ(m_caller->taken, 1);
+    m_session->end_now();
+    m_io.run();
+    EXPECT_EQ(caller->codes, std::vector{answer_code::ok});
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_FALSE(server_received_text("WRITE a b"));
+}
+
+// Guards against a write that a server has refused and that waits for its next attempt when the
+// grace period of a stop ends, and is told that it may have run, or is sent again.
+TEST_F(caller_service_test, session_that_ends_now_sends_no_refused_write_again) {
+    auto& server = m_servers.at("primary");
+    server.busy_statements = 1;
+    send({sessions::statement_kind::write});
+    boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+    while (server.busy_statements > 0) {
+        ASSERT_EQ(m_io.run_one_for(10s), 1U);
+    }
+    m_io.poll();
+    ASSERT_EQ(m_caller->answers, 0);
+    m_session->end_now();
+    m_io.run();
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_EQ(server.received.size(), 1U);
+}
+
 // Guards against statements that have arrived behind a running one, and get no answer or are sent
 // to a server.
 TEST_F(caller_service_test, session_that_ends_now_refuses_the_statements_that_have_arrived) {
--- a/src/entry/tests/gateway_service_test.cpp
+++ b/src/entry/tests/gateway_service_test.cpp
@@ -143,6 +143,35 @@
     EXPECT_EQ(m_primary.opened, 1);
 }
 
+// Guards against a write that is in doubt for the other instance, because the gateway ends while
+// the write waits for a connection to its server.
+TEST_F(gateway_service_test, write_that_waits_at_a_gateway_runs_elsewhere_when_it_is_withdrawn) {
+    m_primary.answer_delay = 400ms;
+    std::vector<run_outcome> outcomes;
+    const auto collect = [&outcomes](const std::exception_ptr&, run_outcome outcome) {
+        outcomes.push_back(std::move(outcome));
+    };
+    for (const auto* text : {"WRITE a b", "WRITE a c"}) {
+        boost::asio::co_spawn(m_io, m_executor.run_autocommit(make(text)), collect);
+    }
+    while (m_primary.received.size() < 2) {
+        ASSERT_EQ(m_io.run_one_for(10s), 1U);
+    }
+    // The gateway has no third connection.
+    boost::asio::co_spawn(m_io, m_executor.run_autocommit(make("WRITE a d")), collect);
+    m_io.run_for(100ms);
+    m_gateway.withdraw_waiting();
+    m_context.refuse_waiting();
+    while (outcomes.size() < 3) {
+        ASSERT_EQ(m_io.run_one_for(10s), 1U);
+    }
+    for (const auto& outcome : outcomes) {
+        EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    }
+    EXPECT_EQ(m_primary.statements, 2);
+    EXPECT_EQ(m_local.runs, 1);
+}
+
 // Guards against a statement that no instance runs, because its gateway is shutting down.
 TEST_F(gateway_service_test, write_that_a_leaving_gateway_refuses_runs_elsewhere) {
     m_gateway.leave();
--- a/standins/users_platform/backend.py
+++ b/standins/users_platform/backend.py
@@ -64,7 +64,8 @@
     `repeat_delay_s` after the first, with `repeat_state` and `repeat_position` unless these are
     empty. The next `busy_answers` requests that have an id, and the share `busy_share` of the
     others, are refused as busy. `ran` records the executed statements as (request id, account,
-    words, transaction state, session values), `answered` their successes as (request id, rows)."""
+    words, transaction state, session values), `answered` their successes as (request id, rows),
+    `arrived` the ids of all requests as they arrive."""
 
     def __init__(self, database, server_id, zone):
         self.database = database
@@ -78,6 +79,7 @@
         self.can_pause = True
         self.paused = False  # told to receive nothing until the next promotion
         self.work_s = 0.0
+        self.arrived = []
         self.lost_answers = 0
         self.repeated_answers = 0
         self.repeat_delay_s = 0.0
@@ -191,6 +193,7 @@
             line = await self.line()
             if line == "TERMINATE":
                 return None
+            self.server.arrived.append(line.split(" ", 2)[1])
             while self.server.dark:
                 await asyncio.sleep(0.02)
             if self.server.work_s > 0:
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -26,6 +26,7 @@
         self.sync_replicas = sync_replicas
         self.promotion_delay_s = PROMOTION_DELAY_S
         self.statement_timeout_ms = 1000
+        self.latency_target_ms = 800
         self.refuses_promotions = False
         self.promotion_replies = ReplyRepeats()
         self.zones = zones
@@ -118,7 +119,7 @@
     async def publish_again(self):
         """Writes the current configuration version, which a restored store may have lost."""
         routes = [{"name": name, "host": name, "path_prefix": "/", "kind": kind,
-                   "timeout_ms": self.statement_timeout_ms, "latency_target_ms": 800,
+                   "timeout_ms": self.statement_timeout_ms, "latency_target_ms": self.latency_target_ms,
                    "priority": 1, "service": SERVICE, "max_attempts": 2, "max_staleness_ms": max_staleness_ms,
                    "public": False} for name, (kind, max_staleness_ms) in ROUTES.items()]
         tenants = [{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": self.rate,
--- a/tests/process/stop_answers_test.py
+++ b/tests/process/stop_answers_test.py
@@ -40,15 +40,15 @@
         return self.outcome
 
 
-class StopAnswersTest(PlatformTest):
-    # Both in one zone, so that one of them runs the statements of both.
-    instance_zones = ("zone-a", "zone-a")
+class StoppingInstanceTest(PlatformTest):
+    latency_target_ms = 800
 
     def setUp(self):
         super().setUp()
         # The servers take so long that the primary seems to be lost.
         self.platform.refuses_promotions = True
         self.platform.statement_timeout_ms = LONG_TIMEOUT_MS
+        self.platform.latency_target_ms = self.latency_target_ms
         self.platform.call(self.platform.publish)
         in_force = f"event=configuration version={self.platform.version} "
         for index, instance in enumerate(self.instances):
@@ -65,6 +65,19 @@
         for server in self.platform.database.servers.values():
             server.work_s = work_s
 
+    def stop_instance(self, index):
+        """Returns when SIGTERM was sent. Fails unless the instance ends within the grace period."""
+        stopped_at = time.monotonic()
+        self.instances[index].terminate()
+        self.assertEqual(self.instances[index].process.wait(timeout=STOP_GRACE_S + 2), 0)
+        self.assertLess(time.monotonic() - stopped_at, STOP_GRACE_S)
+        return stopped_at
+
+
+class StopAnswersTest(StoppingInstanceTest):
+    # Both in one zone, so that one of them runs the statements of both.
+    instance_zones = ("zone-a", "zone-a")
+
     def start_statements(self, index):
         """Starts a statement of each kind, all of which the servers are still running."""
         read, write = self.opened(index), self.opened(index)
@@ -80,14 +93,6 @@
         time.sleep(0.3)
         return pending
 
-    def stop_instance(self, index):
-        """Returns when SIGTERM was sent. Fails unless the instance ends within the grace period."""
-        stopped_at = time.monotonic()
-        self.instances[index].terminate()
-        self.assertEqual(self.instances[index].process.wait(timeout=STOP_GRACE_S + 2), 0)
-        self.assertLess(time.monotonic() - stopped_at, STOP_GRACE_S)
-        return stopped_at
-
     # Guards against statements that get no answer because the grace period ends before their servers
     # answer, and against an answer that promises too much, too little or comes too early.
     def test_unfinished_statements_are_answered_at_the_end_of_the_grace_period(self):
@@ -130,6 +135,29 @@
         self.assertEqual(pending.result(), "OK")
 
 
+class WaitingStatementsTest(StoppingInstanceTest):
+    """More statements than the instance may hold connections to a server."""
+
+    instance_zones = ("zone-a",)
+    latency_target_ms = 4 * LONG_TIMEOUT_MS  # so that they wait for a connection all the time
+    WRITES = 20  # The instance may hold 16 connections to a server.
+
+    # Guards against writes that wait for a connection to their server when the grace period ends, and
+    # are told that they may have run.
+    def test_writes_that_were_not_sent_are_refused_at_the_end_of_the_grace_period(self):
+        sessions = [self.opened(0) for _ in range(self.WRITES)]
+        self.set_work(LONG_WORK_S)
+        pending = [PendingStatement(session, f"WRITE k{number} one")
+                   for number, session in enumerate(sessions)]
+        time.sleep(0.3)
+        self.stop_instance(index=0)
+        outcomes = {statement.session.last_id: statement.result() for statement in pending}
+        arrived = self.server("i-0").arrived
+        self.assertEqual(outcomes, {request: "INDOUBT" if request in arrived else "BUSY"
+                                    for request in outcomes})
+        self.assertEqual(set(outcomes.values()), {"INDOUBT", "BUSY"})
+
+
 class LargeAnswerTest(PlatformTest):
     """Answers that do not fit the connection's buffers."""
 
