Let answers pass a gateway that are longer than a message between instances

What callers saw: a read whose answer was longer than 2 MiB between the instances was run at each gateway of the zone in turn, each of which then counted as lost for a second for all statements; a write was INDOUBT, a transaction ABORTED and left open at the gateway. Each byte above 0x7f took six bytes, so by calculation a row of 350 KB in another script than Latin sufficed; a row of 1 MiB did in the test.

Cause: the caller closes the connection on a frame above the limit, and nothing on the side of the gateway looked at the length.

Bytes above 0x7f take two now and a message may have 3 MiB, so that the longest row of a server passes. A longer answer is left out by the gateway, which rolls its transaction back and says so; the statement then runs over the instance's own connections, or is in doubt if it may have committed a change. No peer server sends a longer message.

What remains: in a transaction that is open at the gateway such an answer aborts it, each time.

Evidence: four tests of gateway_service_test fail before and pass now.

--- a/src/entry/internal/forward_codec.cpp
+++ b/src/entry/internal/forward_codec.cpp
@@ -177,7 +177,8 @@
                    {"form", outcome.routing_basis},
                    {"required", encode_position_or_null(outcome.required)},
                    {"transaction", outcome.transaction},
-                   {"over", outcome.transaction_finished}};
+                   {"over", outcome.transaction_finished},
+                   {"too_long", outcome.answer_too_long}};
     return out.dump();
 }
 
@@ -192,6 +193,7 @@
         outcome.required = decode_position_or_null(in.at("required"));
         outcome.transaction = in.at("transaction").get<std::uint64_t>();
         outcome.transaction_finished = in.at("over").get<bool>();
+        outcome.answer_too_long = in.value("too_long", false);
         return outcome;
     } catch (const json::exception& failure) {
         throw report_unreadable(failure.what());
--- a/src/entry/internal/forwarding_executor.cpp
+++ b/src/entry/internal/forwarding_executor.cpp
@@ -62,6 +62,12 @@
     return outcome;
 }
 
+/// Returns whether the statement has to run over this instance's own connections, because only its
+/// answer did not fit into a message of the gateway. It changed nothing.
+bool needs_own_connection(const forwarded_outcome& outcome) {
+    return outcome.answer_too_long && guarantees_no_changes(outcome.answer.code);
+}
+
 /// The answer code when a gateway accepted a statement whose changes may have been committed, and
 /// then did not answer.
 answer_code code_without_answer(const run_budget& budget) {
@@ -136,13 +142,17 @@
             deadline = std::min(deadline, steady_clock().now() + gateway_read_timeout);
         }
         bool no_answer = false;
+        bool answer_too_long = false;
         if (!run.handover->hand_over()) {
             co_return withdrawn_outcome(answer_code::busy);
         }
         try {
             auto forwarded = forwarded_from(run, transaction_phase::autocommit);
             auto answer = co_await m_calls.run(gateway, std::move(forwarded), deadline);
-            co_return outcome_from(std::move(answer), gateway.id);
+            if (!needs_own_connection(answer)) {
+                co_return outcome_from(std::move(answer), gateway.id);
+            }
+            answer_too_long = true;
         } catch (const gateway_refused&) {
             no_answer = false;
         } catch (const gateway_outcome_unknown&) {
@@ -155,6 +165,9 @@
         if (steady_clock().now() >= budget.deadline()) {
             co_return outcome_without_answer(answer_code::timed_out, gateway.id);
         }
+        if (answer_too_long) {
+            break;
+        }
     }
     co_return co_await m_local.run_autocommit(std::move(run));
 }
@@ -166,6 +179,7 @@
     const bool commits = run.statement.kind == sessions::statement_kind::commit;
     for (const auto& gateway : usable_gateways()) {
         bool no_answer = false;
+        bool answer_too_long = false;
         if (!run.handover->hand_over()) {
             co_return withdrawn_outcome(answer_code::busy);
         }
@@ -174,13 +188,16 @@
             forwarded.reads_only = reads_only;
             auto answer = co_await m_calls.run(gateway, std::move(forwarded),
                                                budget.deadline() + answer_margin);
-            const auto transaction_id = answer.transaction;
-            auto outcome = outcome_from(std::move(answer), gateway.id);
-            if (transaction_id != 0) {
-                transaction = std::make_unique<forwarded_transaction>(
-                    m_calls, gateway, transaction_id, outcome.server, run.decision.writes);
+            if (!needs_own_connection(answer)) {
+                const auto transaction_id = answer.transaction;
+                auto outcome = outcome_from(std::move(answer), gateway.id);
+                if (transaction_id != 0) {
+                    transaction = std::make_unique<forwarded_transaction>(
+                        m_calls, gateway, transaction_id, outcome.server, run.decision.writes);
+                }
+                co_return outcome;
             }
-            co_return outcome;
+            answer_too_long = true;
         } catch (const gateway_refused&) {
             no_answer = false;
         } catch (const gateway_outcome_unknown&) {
@@ -193,6 +210,9 @@
                 commits ? code_without_answer(budget) : answer_code::aborted, gateway.id);
         }
         run.handover->take_back();
+        if (answer_too_long) {
+            break;
+        }
     }
     co_return co_await m_local.run_first(std::move(run), reads_only, transaction);
 }
--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -4,6 +4,7 @@
 
 #include "entry/forward_codec.h"
 #include "entry/internal/gateway_link.h"
+#include "entry/internal/unfinished_statement.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,6 +21,8 @@
 /// Idle limit when the configuration sets none. It is needed because the instance that opened the
 /// transaction may have stopped without a rollback.
 constexpr clock::duration default_idle_limit = 30s;
+/// Largest encoded outcome. Leaves room for the fields of the message that carries it.
+constexpr std::size_t max_outcome_bytes = links::max_peer_message_bytes - 4096;
 
 /// Scope guard that keeps a statement in the set of running ones during its lifetime.
 class running_statement {
@@ -63,6 +66,30 @@
     return outcome;
 }
 
+unfinished_statement sent_statement(const forwarded_statement& forwarded) {
+    unfinished_statement statement;
+    statement.may_have_been_sent = true;
+    statement.in_transaction = forwarded.phase != transaction_phase::autocommit;
+    statement.commits = forwarded.statement.kind == sessions::statement_kind::commit;
+    statement.writes = forwarded.decision.writes;
+    statement.transaction_wrote = true;
+    return statement;
+}
+
+/// The outcome of a statement whose answer is too long for a message. Precondition: its transaction
+/// has ended.
+forwarded_outcome without_answer(forwarded_outcome outcome, const unfinished_statement& statement) {
+    outcome.answer_too_long = true;
+    outcome.transaction = 0;
+    outcome.transaction_finished = true;
+    if (outcome.answer.code == sessions::answer_code::ok) {
+        outcome.answer.code = code_without_result(statement);
+    }
+    outcome.answer.rows.clear();
+    outcome.answer.signature.clear();
+    return outcome;
+}
+
 } // namespace
 
 gateway_service::gateway_service(asio::any_io_executor executor, const endpoint& listen,
@@ -125,8 +152,15 @@
         end_transaction(forwarded.transaction);
         throw links::peer_call_refused("the time limit of the statement is over");
     }
+    const auto statement = sent_statement(forwarded);
+    const auto transaction = forwarded.transaction;
     auto outcome = co_await execute(std::move(forwarded));
-    co_return encode_outcome(outcome);
+    auto text = encode_outcome(outcome);
+    if (text.size() > max_outcome_bytes) {
+        end_transaction(outcome.transaction == 0 ? transaction : outcome.transaction);
+        text = encode_outcome(without_answer(std::move(outcome), statement));
+    }
+    co_return text;
 }
 
 asio::awaitable<std::string> gateway_service::roll_back(std::string params) {
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -45,6 +45,7 @@
     /// The transaction state in the answers to callers' statements, instead of the actual one.
     std::optional<sessions::transaction_state> claimed_state;
     std::vector<std::string> claimed_status_rows; ///< rows of answers to pause_receiving
+    std::string row; ///< of the answers to callers' statements, if not empty
     std::vector<sessions::server_command> received;
     int connections = 0;
     int opened = 0;
@@ -173,7 +174,7 @@
             if (runs_statement && answer.code == answer_code::ok) {
                 ++m_script->statements;
                 answer.signature = std::string("signed-").append(command.text);
-                answer.rows = {command.text};
+                answer.rows = {m_script->row.empty() ? command.text : m_script->row};
             }
             answer.state = runs_statement ? m_script->claimed_state.value_or(m_state) : m_state;
             return answer;
--- a/src/entry/tests/gateway_service_test.cpp
+++ b/src/entry/tests/gateway_service_test.cpp
@@ -93,6 +93,8 @@
         return finish(m_transaction->run_next(make(text)));
     }
 
+    static std::string too_long_row() { return std::string(links::max_peer_message_bytes, 'x'); }
+
     static entry_settings make_settings() {
         entry_settings settings;
         settings.fenced_promotions = true;
@@ -143,6 +145,46 @@
     EXPECT_EQ(m_primary.opened, 1);
 }
 
+// Guards against an answer in any script that does not pass a gateway, although a server sends it
+// in one message.
+TEST_F(gateway_service_test, longest_row_of_a_server_passes) {
+    m_primary.row = std::string((std::size_t{1} << 20U) - 100, '\xe5');
+    const auto outcome = run_autocommit("READ a");
+    EXPECT_TRUE(outcome.answer.rows == std::vector{m_primary.row}); // too long to be printed
+    EXPECT_EQ(m_local.runs, 0);
+}
+
+// Guards against a read that is never answered, and a gateway that counts as lost for all others,
+// because of an answer that is too long for a message between instances.
+TEST_F(gateway_service_test, read_with_a_too_long_answer_runs_over_own_connections) {
+    m_primary.row = too_long_row();
+    EXPECT_EQ(run_autocommit("READ a").answer.code, answer_code::ok);
+    EXPECT_EQ(begin("READ a").answer.code, answer_code::ok);
+    EXPECT_EQ(m_local.runs, 2);
+    EXPECT_TRUE(m_gateway.idle());
+    EXPECT_TRUE(m_link.usable(instance_id("gateway"), steady_clock().now()));
+}
+
+// Guards against a write that runs a second time because its answer is too long for a message.
+TEST_F(gateway_service_test, write_with_a_too_long_answer_is_in_doubt) {
+    m_primary.row = too_long_row();
+    EXPECT_EQ(run_autocommit("WRITE a b").answer.code, answer_code::in_doubt);
+    EXPECT_EQ(m_local.runs, 0);
+    EXPECT_TRUE(m_link.usable(instance_id("gateway"), steady_clock().now()));
+}
+
+// Guards against a transaction that stays open at the gateway after its client was told that it was
+// aborted.
+TEST_F(gateway_service_test, transaction_ends_with_a_too_long_answer) {
+    ASSERT_EQ(begin("READ a").answer.code, answer_code::ok);
+    m_primary.row = too_long_row();
+    const auto outcome = next("READ b");
+    EXPECT_EQ(outcome.answer.code, answer_code::aborted);
+    EXPECT_TRUE(outcome.transaction_finished);
+    EXPECT_TRUE(m_gateway.idle());
+    EXPECT_TRUE(m_link.usable(instance_id("gateway"), steady_clock().now()));
+}
+
 // Guards against a write that is in doubt for the other instance, because the gateway ends while
 // the write waits for a connection to its server.
 TEST_F(gateway_service_test, write_that_waits_at_a_gateway_runs_elsewhere_when_it_is_withdrawn) {
--- a/src/entry/types/forwarded_statement.h
+++ b/src/entry/types/forwarded_statement.h
@@ -48,6 +48,9 @@
     /// Id of the transaction that the first statement opened; 0 for none.
     std::uint64_t transaction = 0;
     bool transaction_finished = false;
+    /// The server's answer is too long for a message between instances. The code tells what is
+    /// kept.
+    bool answer_too_long = false;
 
     friend bool operator==(const forwarded_outcome&, const forwarded_outcome&) = default;
 };
--- a/src/links/internal/rpc_client_codec.cpp
+++ b/src/links/internal/rpc_client_codec.cpp
@@ -75,6 +75,7 @@
 std::string write(const Json::Value& value) {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
+    builder["emitUTF8"] = true; // An escaped character takes three times as many bytes.
     return Json::writeString(builder, value);
 }
 
--- a/src/links/internal/rpc_server_codec.cpp
+++ b/src/links/internal/rpc_server_codec.cpp
@@ -1,6 +1,7 @@
 #include "links/internal/rpc_server_codec.h"
 
 #include "links/internal/rpc_refusal_code.h"
+#include "links/peer_link.h"
 
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
@@ -18,6 +19,7 @@
 std::string write(const Json::Value& value) {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
+    builder["emitUTF8"] = true; // An escaped character takes three times as many bytes.
     return Json::writeString(builder, value);
 }
 
@@ -77,7 +79,8 @@
         std::string text;
         m_handler->HandleRequest(request, text);
         m_outcome = nullptr;
-        return text;
+        // The library escapes each character above 0x7f.
+        return text.size() > max_peer_message_bytes ? write(parse(text)) : text;
     }
 
 private:
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -142,7 +142,12 @@
             result.refused = false;
         }
     }
-    co_return m_protocol.answer(request, result);
+    auto text = m_protocol.answer(request, result);
+    if (text.size() > max_peer_message_bytes) {
+        // The caller would close the connection without a reason.
+        text = m_protocol.answer(request, {true, "the answer is longer than the maximum"});
+    }
+    co_return text;
 }
 
 class tcp_peer_server final : public peer_server {
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -60,8 +60,9 @@
     friend bool operator==(const peer_secret&, const peer_secret&) = default;
 };
 
-/// Largest message between instances, in bytes. Large enough for one object of the platform.
-inline constexpr std::size_t max_peer_message_bytes = std::size_t{2} << 20U;
+/// Largest message between instances, in bytes. Large enough for one object of the platform, and
+/// for 1 MiB, the longest message of a caller or a backend server, of bytes that take two in UTF-8.
+inline constexpr std::size_t max_peer_message_bytes = std::size_t{3} << 20U;
 
 /// Largest first call on a connection, in bytes. Only the caller's first sealed frame proves that
 /// its hello is not a replay; until then the server allocates no more than this.
@@ -88,7 +89,8 @@
 /// Answers calls from other instances. Its handlers run on the thread of its executor.
 class peer_server {
 public:
-    /// Takes the params and returns the result, both as JSON text. A peer_call_refused from the
+    /// Takes the params and returns the result, both as JSON text. A result that is too long for a
+    /// message reaches the calling instance as peer_call_failed. A peer_call_refused from the
     /// handler reaches the calling instance as such, any other exception as peer_call_failed.
     using handler = std::function<boost::asio::awaitable<std::string>(std::string params)>;
 
--- a/src/links/tests/tcp_peer_link_test.cpp
+++ b/src/links/tests/tcp_peer_link_test.cpp
@@ -129,6 +129,17 @@
     EXPECT_EQ(m_link->bytes(), 0U);
 }
 
+// Guards against an answer that ends its connection without a reason because it is too long.
+TEST_F(tcp_peer_link_test, result_above_the_maximum_is_reported_as_failed_call) {
+    m_server->add_method("grow", [](std::string) -> awaitable<std::string> {
+        co_return '"' + std::string(max_peer_message_bytes, 'x') + '"';
+    });
+    EXPECT_THROW(call(*m_link, "grow", "{}"), peer_call_failed);
+    const auto before = m_link->bytes();
+    EXPECT_EQ(call(*m_link, "echo", "{}"), "{}");
+    EXPECT_LT(m_link->bytes() - before, max_first_peer_call_bytes);
+}
+
 // Guards against a text of a caller that is changed between two instances.
 TEST_F(tcp_peer_link_test, every_character_passes_unchanged) {
     std::string text = R"({"text":")";
