--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -4,6 +4,7 @@
 
 #include "entry/forward_codec.h"
 #include "entry/internal/gateway_link.h"
+#include "entry/internal/unfinished_statement.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,27 +21,40 @@
 /// Idle limit when the configuration sets none. It is needed because the instance that opened the
 /// transaction may have stopped without a rollback.
 constexpr clock::duration default_idle_limit = 30s;
+/// Largest encoded outcome. Leaves room for the fields of the message that carries it.
+constexpr std::size_t max_outcome_bytes = links::max_peer_message_bytes - 4096;
 
-/// The call is rejected, for example while the instance is shutting down.
-class call_rejected : public error {
-public:
-    using error::error;
-};
-
-/// Scope guard that increments the counter of running statements during its lifetime.
+/// Scope guard that keeps a statement in the set of running ones during its lifetime.
 class running_statement {
 public:
-    explicit running_statement(int& count) : m_count(count) { ++m_count; }
+    using handover_set = std::set<std::shared_ptr<statement_handover>>;
+
+    running_statement(handover_set& running, std::shared_ptr<statement_handover> handover)
+        : m_running(running), m_handover(std::move(handover)) {
+        m_running.insert(m_handover);
+    }
+
+    ~running_statement() { m_running.erase(m_handover); }
 
-    ~running_statement() { --m_count; }
+    [[nodiscard]] bool withdrawn_unsent() const noexcept { return m_handover->withdrawn_unsent(); }
 
     running_statement(const running_statement&) = delete;
     running_statement& operator=(const running_statement&) = delete;
 
 private:
-    int& m_count;
+    handover_set& m_running;
+    std::shared_ptr<statement_handover> m_handover;
 };
 
+/// Throws links::peer_call_refused.
+forwarded_statement decode_call(const std::string& params) {
+    try {
+        return decode_forwarded(params);
+    } catch (const std::exception& unreadable) {
+        throw links::peer_call_refused(unreadable.what());
+    }
+}
+
 forwarded_outcome outcome_from(run_outcome run) {
     forwarded_outcome outcome;
     outcome.answer = std::move(run.answer);
@@ -52,6 +66,30 @@
     return outcome;
 }
 
+unfinished_statement sent_statement(const forwarded_statement& forwarded) {
+    unfinished_statement statement;
+    statement.may_have_been_sent = true;
+    statement.in_transaction = forwarded.phase != transaction_phase::autocommit;
+    statement.commits = forwarded.statement.kind == sessions::statement_kind::commit;
+    statement.writes = forwarded.decision.writes;
+    statement.transaction_wrote = true;
+    return statement;
+}
+
+/// The outcome of a statement whose answer is too long for a message. Precondition: its transaction
+/// has ended.
+forwarded_outcome without_answer(forwarded_outcome outcome, const unfinished_statement& statement) {
+    outcome.answer_too_long = true;
+    outcome.transaction = 0;
+    outcome.transaction_finished = true;
+    if (outcome.answer.code == sessions::answer_code::ok) {
+        outcome.answer.code = code_without_result(statement);
+    }
+    outcome.answer.rows.clear();
+    outcome.answer.signature.clear();
+    return outcome;
+}
+
 } // namespace
 
 gateway_service::gateway_service(asio::any_io_executor executor, const endpoint& listen,
@@ -77,7 +115,7 @@
         const auto limit = configured > clock::duration::zero() ? configured : default_idle_limit;
         const auto now = steady_clock().now();
         for (auto at = m_transactions.begin(); at != m_transactions.end();) {
-            const bool idle_too_long = !at->second.running && now - at->second.used > limit;
+            const bool idle_too_long = now - at->second.used > limit;
             if (idle_too_long) {
                 m_context.log().write(log_entry("transaction_idle")
                                           .add("server", at->second.transaction->server().str())
@@ -90,30 +128,39 @@
     }
 }
 
+void gateway_service::withdraw_waiting() {
+    for (const auto& handover : m_running) {
+        handover->withdraw();
+    }
+}
+
 void gateway_service::abort_transactions() {
-    for (auto at = m_transactions.begin(); at != m_transactions.end();) {
-        const bool no_statement_running = !at->second.running;
-        if (no_statement_running) {
-            at->second.transaction->roll_back();
-        }
-        at = no_statement_running ? m_transactions.erase(at) : std::next(at);
+    for (const auto& [id, held] : m_transactions) {
+        held.transaction->roll_back();
     }
+    m_transactions.clear();
 }
 
 asio::awaitable<std::string> gateway_service::run(std::string params) {
-    auto forwarded = decode_forwarded(params);
+    auto forwarded = decode_call(params);
     if (m_leaving && forwarded.phase != transaction_phase::next) {
-        throw call_rejected("the instance is shutting down");
+        throw links::peer_call_refused("the instance is shutting down");
     }
     forwarded.elapsed += m_context.unread_time();
     if (forwarded.elapsed >= forwarded.route.statement_timeout) {
         // The caller has been told that the statement timed out, and may have sent another.
         end_transaction(forwarded.transaction);
-        throw call_rejected("the time limit of the statement is over");
+        throw links::peer_call_refused("the time limit of the statement is over");
     }
-    const running_statement counted(m_running_statements);
+    const auto statement = sent_statement(forwarded);
+    const auto transaction = forwarded.transaction;
     auto outcome = co_await execute(std::move(forwarded));
-    co_return encode_outcome(outcome);
+    auto text = encode_outcome(outcome);
+    if (text.size() > max_outcome_bytes) {
+        end_transaction(outcome.transaction == 0 ? transaction : outcome.transaction);
+        text = encode_outcome(without_answer(std::move(outcome), statement));
+    }
+    co_return text;
 }
 
 asio::awaitable<std::string> gateway_service::roll_back(std::string params) {
@@ -139,6 +186,7 @@
     run.values = forwarded.values;
     run.own_commit = forwarded.own_commit;
     run.arrived = steady_clock().now() - forwarded.elapsed;
+    const running_statement counted(m_running, run.handover);
     if (forwarded.phase == transaction_phase::next) {
         co_return co_await execute_next(std::move(forwarded), std::move(run));
     }
@@ -153,10 +201,13 @@
         if (transaction != nullptr) {
             outcome.transaction = new_transaction_id();
             m_transactions[outcome.transaction] = {std::move(transaction), forwarded.account,
-                                                   steady_clock().now(), false};
+                                                   steady_clock().now()};
         }
     }
     log_failure(forwarded, outcome);
+    if (counted.withdrawn_unsent()) {
+        throw links::peer_call_refused("the instance is shutting down");
+    }
     co_return outcome;
 }
 
@@ -165,30 +216,27 @@
     run.route = &forwarded.route;
     forwarded_outcome outcome;
     const auto found = m_transactions.find(forwarded.transaction);
-    if (found == m_transactions.end() || found->second.running ||
-        found->second.account != forwarded.account) {
-        // The transaction was rolled back here and is no longer in m_transactions, or it is still
-        // running another statement, or it is another account's. This call commits nothing.
+    if (found == m_transactions.end() || found->second.account != forwarded.account) {
+        // The transaction was rolled back here, or it is still running another statement, or it is
+        // another account's. This call commits nothing.
         outcome.answer.code = sessions::answer_code::aborted;
         outcome.routing_basis = "transaction";
         outcome.transaction_finished = true;
         co_return outcome;
     }
-    auto& held = found->second;
-    held.running = true;
-    outcome = outcome_from(co_await held.transaction->run_next(std::move(run)));
-    held.running = false;
-    held.used = steady_clock().now();
-    if (outcome.transaction_finished) {
-        m_transactions.erase(forwarded.transaction);
-    }
+    auto running = m_transactions.extract(found);
+    outcome = outcome_from(co_await running.mapped().transaction->run_next(std::move(run)));
     log_failure(forwarded, outcome);
+    if (!outcome.transaction_finished) {
+        running.mapped().used = steady_clock().now();
+        m_transactions.insert(std::move(running));
+    }
     co_return outcome;
 }
 
 void gateway_service::end_transaction(std::uint64_t id) {
     const auto found = m_transactions.find(id);
-    if (found != m_transactions.end() && !found->second.running) {
+    if (found != m_transactions.end()) {
         found->second.transaction->roll_back();
         m_transactions.erase(found);
     }
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace oriole::entry {
@@ -30,20 +31,24 @@
     /// Rejects new statements and transactions from now on; open transactions may continue.
     void leave() noexcept { m_leaving = true; }
 
-    /// Rolls back the open transactions in which no statement is running.
+    /// Refuses the statements that have not been sent to a server yet, so that the other instance
+    /// runs them elsewhere instead of not getting an answer.
+    void withdraw_waiting();
+
+    /// Rolls back the open transactions, except those in which a statement is running.
     void abort_transactions();
 
+    /// The endpoint on which the service listens.
+    [[nodiscard]] endpoint address() const { return m_server->address(); }
+
     /// Returns whether no statement is running and no transaction is open for another instance.
-    [[nodiscard]] bool idle() const noexcept {
-        return m_running_statements == 0 && m_transactions.empty();
-    }
+    [[nodiscard]] bool idle() const noexcept { return m_running.empty() && m_transactions.empty(); }
 
 private:
     struct held_transaction {
         std::unique_ptr<statement_transaction> transaction;
         account_name account;
         clock::time_point used{};
-        bool running = false;
     };
 
     [[nodiscard]] boost::asio::awaitable<std::string> run(std::string params);
@@ -52,7 +57,7 @@
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome> execute(forwarded_statement forwarded);
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
     execute_next(forwarded_statement forwarded, statement_run run);
-    /// Rolls the transaction back, if it is open and no statement is running in it.
+    /// Rolls the transaction back, unless a statement is running in it.
     void end_transaction(std::uint64_t id);
     /// An id that no transaction has had, also not before a restart of this instance.
     [[nodiscard]] std::uint64_t new_transaction_id();
@@ -61,9 +66,11 @@
     boost::asio::any_io_executor m_executor;
     traffic_context& m_context;
     std::unique_ptr<links::peer_server> m_server;
+    /// The open transactions in which no statement is running. A running statement owns its
+    /// transaction, so that an error ends both.
     std::map<std::uint64_t, held_transaction> m_transactions;
     std::unique_ptr<random_source> m_random = make_random_source();
-    int m_running_statements = 0;
+    std::set<std::shared_ptr<statement_handover>> m_running; ///< of the running statements
     bool m_leaving = false;
 };
 
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -163,6 +163,8 @@
             for (const auto& session : sessions) {
                 session->end_now();
             }
+            m_gateway.withdraw_waiting();
+            m_context.refuse_waiting();
             answered_all = true;
         }
         end_next(sessions, group);
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <algorithm>
 
@@ -16,6 +15,22 @@
 using namespace std::chrono_literals;
 using sessions::answer_code;
 
+/// A log that fails to write the lines of one event.
+class failing_log final : public decision_log {
+public:
+    void write(const log_entry& entry) override {
+        if (!event.empty() && entry.text().find("event=" + event) != std::string::npos) {
+            throw std::runtime_error("planted");
+        }
+    }
+
+    void flush() override {}
+
+    [[nodiscard]] std::uint64_t dropped() const override { return 0; }
+
+    std::string event; ///< empty for none
+};
+
 class caller_service_test : public testing::Test {
 protected:
     caller_service_test() {
@@ -54,6 +69,11 @@
 
     void serve() { static_cast<void>(run_coroutine(m_io, serve_session(m_session))); }
 
+    void allow_one_connection() {
+        m_view.servers[service_name("db")].front().connections = {1, 1};
+        m_context.apply(std::make_shared<const fleet::fleet_view>(m_view));
+    }
+
     /// Serves the session until the server has received `text`, and then ends the session while the
     /// server has not answered yet.
     void serve_and_end_while_server_runs(const std::string& text) {
@@ -69,12 +89,17 @@
         m_io.run();
     }
 
+    void give_account(const account_name& account) {
+        m_view.accounts_by_key =
+            std::make_shared<const fleet::key_index>(fleet::key_index{{"key", account}});
+        m_context.apply(std::make_shared<const fleet::fleet_view>(m_view));
+    }
+
     /// Gives the client an account whose operations a coordinator at `address` admits.
     void coordinate_rates_at(const endpoint& address) {
         const account_name account("acme");
-        m_view.accounts_by_key =
-            std::make_shared<const fleet::key_index>(fleet::key_index{{"key", account}});
         m_view.shares[account] = {1000.0, 1000.0};
+        give_account(account);
         fleet::registered_instance coordinator;
         coordinator.id = instance_id("coordinator");
         coordinator.gateway_address = address;
@@ -113,9 +138,9 @@
     fleet::fleet_view m_view;
     boost::asio::io_context m_io;
     fake_servers m_servers;
-    std::unique_ptr<decision_log> m_log = make_decision_log(::dup(STDERR_FILENO));
+    failing_log m_log;
     metric_registry m_metrics;
-    traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), *m_log, m_metrics};
+    traffic_context m_context{m_io.get_executor(), m_servers, make_settings(), m_log, m_metrics};
     bool m_open_at_end = false; ///< the client was still connected when serve() ended
     std::shared_ptr<fake_caller> m_caller = std::make_shared<fake_caller>();
     std::shared_ptr<caller_service> m_session =
@@ -129,6 +154,30 @@
     EXPECT_TRUE(m_caller->closed);
 }
 
+// Guards against a write that gets no answer, or runs a second time, because of an unexpected error
+// on the connection to its server, and against connections that stay counted as open.
+TEST_F(caller_service_test, unexpected_error_of_a_connection_leaves_its_write_in_doubt) {
+    auto& server = m_servers.at("primary");
+    server.fails_on = sessions::command_kind::caller_statement;
+    send({sessions::statement_kind::write, sessions::statement_kind::write,
+          sessions::statement_kind::write});
+    serve();
+    EXPECT_EQ(m_caller->codes, std::vector(3, answer_code::in_doubt));
+    EXPECT_EQ(server.statements, 3);
+    EXPECT_EQ(server.connections, 0);
+}
+
+// Guards against a statement that gets no answer because of an unexpected error before it was sent.
+TEST_F(caller_service_test, unexpected_error_of_a_statement_is_answered_and_ends_the_session) {
+    give_account(account_name("acme")); // It has no share of a rate, which is logged.
+    m_log.event = "rate_refused";
+    send({sessions::statement_kind::write, sessions::statement_kind::write});
+    serve();
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_TRUE(m_caller->ended);
+    EXPECT_TRUE(m_servers.at("primary").received.empty());
+}
+
 // Guards against a client that sends its next statement to a session that ends, because the end of
 // the stream comes after the answer.
 TEST_F(caller_service_test, ending_session_ends_its_stream_with_the_answer) {
@@ -231,6 +280,47 @@
     EXPECT_TRUE(m_servers.at("primary").received.empty());
 }
 
+// Guards against a write that waits for a connection to its server when the grace period of a stop
+// ends, and is told that it may have run, or is sent afterwards.
+TEST_F(caller_service_test, session_that_ends_now_sends_nothing_that_waits_for_a_connection) {
+    allow_one_connection();
+    const auto caller = std::make_shared<fake_caller>();
+    caller->statements.push_back(make(sessions::statement_kind::read));
+    const auto running = std::make_shared<caller_service>(m_context, caller);
+    m_servers.at("primary").answer_delay = 20ms;
+    boost::asio::co_spawn(m_io, serve_session(running), boost::asio::detached);
+    send({sessions::statement_kind::write});
+    boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+    while (!server_received_text("READ a")) {
+        ASSERT_EQ(m_io.run_one_for(10s), 1U);
+    }
+    m_io.poll();
+    ASSERT_EQ(m_caller->taken, 1);
+    m_session->end_now();
+    m_io.run();
+    EXPECT_EQ(caller->codes, std::vector{answer_code::ok});
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_FALSE(server_received_text("WRITE a b"));
+}
+
+// Guards against a write that a server has refused and that waits for its next attempt when the
+// grace period of a stop ends, and is told that it may have run, or is sent again.
+TEST_F(caller_service_test, session_that_ends_now_sends_no_refused_write_again) {
+    auto& server = m_servers.at("primary");
+    server.busy_statements = 1;
+    send({sessions::statement_kind::write});
+    boost::asio::co_spawn(m_io, serve_session(m_session), boost::asio::detached);
+    while (server.busy_statements > 0) {
+        ASSERT_EQ(m_io.run_one_for(10s), 1U);
+    }
+    m_io.poll();
+    ASSERT_EQ(m_caller->answers, 0);
+    m_session->end_now();
+    m_io.run();
+    EXPECT_EQ(m_caller->codes, std::vector{answer_code::busy});
+    EXPECT_EQ(server.received.size(), 1U);
+}
+
 // Guards against statements that have arrived behind a running one, and get no answer or are sent
 // to a server.
 TEST_F(caller_service_test, session_that_ends_now_refuses_the_statements_that_have_arrived) {
--- a/src/entry/tests/fake_servers.h
+++ b/src/entry/tests/fake_servers.h
@@ -11,8 +11,10 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,13 @@
     bool refuses_connections = false;
     /// The connection breaks when the answer to this kind of command is due.
     std::optional<sessions::command_kind> breaks_on;
+    std::function<void()> on_break; ///< called when the connection breaks; may change the script
+    std::optional<sessions::command_kind>
+        rejects; ///< this kind of command is answered as malformed
     std::optional<sessions::command_kind> no_answer_to; ///< this kind of command is never answered
+    /// The channel fails with an error that it does not announce, once this kind of command has
+    /// run.
+    std::optional<sessions::command_kind> fails_on;
     /// The answer to this kind of command is lost, but later answers arrive.
     std::optional<sessions::command_kind> loses_answer_to;
     int busy_statements = 0;       ///< the next callers' statements are refused as busy
@@ -40,6 +48,7 @@
     /// The transaction state in the answers to callers' statements, instead of the actual one.
     std::optional<sessions::transaction_state> claimed_state;
     std::vector<std::string> claimed_status_rows; ///< rows of answers to pause_receiving
+    std::string row; ///< of the answers to callers' statements, if not empty
     std::vector<sessions::server_command> received;
     int connections = 0;
     int opened = 0;
@@ -94,6 +103,9 @@
             }
             const auto command = m_due.front();
             if (m_script->breaks_on == command.kind) {
+                if (m_script->on_break) {
+                    m_script->on_break();
+                }
                 throw server_unreachable("fake server broke the connection");
             }
             if (m_script->no_answer_to == command.kind) {
@@ -102,6 +114,10 @@
                 throw server_timeout("fake server did not answer within the time limit");
             }
             m_due.pop_front();
+            if (m_script->fails_on == command.kind) {
+                static_cast<void>(answer_to(command));
+                throw std::runtime_error("planted");
+            }
             if (m_script->answer_delay > clock::duration::zero()) {
                 boost::asio::steady_timer timer(m_executor, m_script->answer_delay);
                 co_await timer.async_wait(boost::asio::use_awaitable);
@@ -151,6 +167,12 @@
             if (command.kind == command_kind::pause_receiving) {
                 answer.rows = m_script->claimed_status_rows;
             }
+            if (m_script->rejects == command.kind) {
+                answer.code = answer_code::malformed;
+            } else if (command.kind == command_kind::status ||
+                       command.kind == command_kind::pause_receiving) {
+                answer.status = {m_script->primary, m_script->position.term(), m_script->position};
+            }
             const bool runs_statement = command.kind == command_kind::caller_statement ||
                                         command.kind == command_kind::execute;
             if (runs_statement && m_script->busy_statements > 0) {
@@ -162,7 +184,7 @@
             if (runs_statement && answer.code == answer_code::ok) {
                 ++m_script->statements;
                 answer.signature = std::string("signed-").append(command.text);
-                answer.rows = {command.text};
+                answer.rows = {m_script->row.empty() ? command.text : m_script->row};
             }
             answer.state = runs_statement ? m_script->claimed_state.value_or(m_state) : m_state;
             return answer;
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -128,18 +128,26 @@
 }
 
 awaitable<std::string> peer_acceptor::answer(std::string request) {
-    rpc_outcome result{true, "the request is not a single call of a known method"};
+    rpc_outcome result{true, "the request is not a single call of a known method", true};
     const auto call = m_protocol.read(request);
     if (call) {
         try {
             const auto& handle = m_handlers.at(call->method);
             result.text = co_await handle(call->params);
             result.failed = false;
+        } catch (const peer_call_refused& refusal) {
+            result.text = refusal.what();
         } catch (const std::exception& failure) {
             result.text = failure.what();
+            result.refused = false;
         }
     }
-    co_return m_protocol.answer(request, result);
+    auto text = m_protocol.answer(request, result);
+    if (text.size() > max_peer_message_bytes) {
+        // The caller would close the connection without a reason.
+        text = m_protocol.answer(request, {true, "the answer is longer than the maximum"});
+    }
+    co_return text;
 }
 
 class tcp_peer_server final : public peer_server {
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -18,13 +18,20 @@
 
 namespace oriole::links {
 
-/// The peer answered the call with an error: its handler refused or failed, or it has no such
-/// method.
+/// The peer answered the call with an error. Its handler failed, perhaps after the call took
+/// effect.
 class peer_call_failed : public error {
 public:
     using error::error;
 };
 
+/// The peer did not accept the call: its handler threw this exception, or it has no such method.
+/// The call had no effect.
+class peer_call_refused : public peer_call_failed {
+public:
+    using peer_call_failed::peer_call_failed;
+};
+
 /// The call is longer than max_peer_message_bytes. Nothing was sent, so it says nothing of the
 /// peer.
 class peer_call_too_long : public error {
@@ -53,8 +60,9 @@
     friend bool operator==(const peer_secret&, const peer_secret&) = default;
 };
 
-/// Largest message between instances, in bytes. Large enough for one object of the platform.
-inline constexpr std::size_t max_peer_message_bytes = std::size_t{2} << 20U;
+/// Largest message between instances, in bytes. Large enough for one object of the platform, and
+/// for 1 MiB, the longest message of a caller or a backend server, of bytes that take two in UTF-8.
+inline constexpr std::size_t max_peer_message_bytes = std::size_t{3} << 20U;
 
 /// Largest first call on a connection, in bytes. Only the caller's first sealed frame proves that
 /// its hello is not a replay; until then the server allocates no more than this.
@@ -70,7 +78,7 @@
     /// that may have been sent is not repeated. Throws link_error when the peer cannot be reached,
     /// does not know the secret or does not answer by `deadline`, unexpected_answer when it sends
     /// something else than the answer; peer_not_running when its machine
-    /// refuses the connection; peer_call_failed when it answers with an error.
+    /// refuses the connection; peer_call_refused or peer_call_failed when it answers with an error.
     [[nodiscard]] virtual boost::asio::awaitable<std::string>
     call(endpoint peer, std::string method, std::string params, clock::time_point deadline) = 0;
 
@@ -81,8 +89,9 @@
 /// Answers calls from other instances. Its handlers run on the thread of its executor.
 class peer_server {
 public:
-    /// Takes the params and returns the result, both as JSON text. An exception from the handler
-    /// reaches the calling instance as peer_call_failed.
+    /// Takes the params and returns the result, both as JSON text. A result that is too long for a
+    /// message reaches the calling instance as peer_call_failed. A peer_call_refused from the
+    /// handler reaches the calling instance as such, any other exception as peer_call_failed.
     using handler = std::function<boost::asio::awaitable<std::string>(std::string params)>;
 
     virtual ~peer_server() = default;
