--- a/src/entry/tests/gateway_service_test.cpp
+++ b/src/entry/tests/gateway_service_test.cpp
@@ -72,9 +72,9 @@
     /// Runs the event loop until the coroutine has ended, although the gateway still listens.
     run_outcome finish(boost::asio::awaitable<run_outcome> work) {
         std::optional<run_outcome> result;
-        boost::asio::co_spawn(m_io, std::move(work), [&](std::exception_ptr, run_outcome outcome) {
-            result = std::move(outcome);
-        });
+        boost::asio::co_spawn(
+            m_io, std::move(work),
+            [&](const std::exception_ptr&, run_outcome outcome) { result = std::move(outcome); });
         m_io.restart();
         while (!result && m_io.run_one_for(10s) == 1U) {
         }
