Take ports with ended connections in the tests of addresses

With a connection in TIME_WAIT on a port of a listener that had the option, as an instance has, bind fails without the option and succeeds with it, and a second process cannot bind the port in either case, so the test is as strict as before.

--- a/tests/process/process_lifetime_test.py
+++ b/tests/process/process_lifetime_test.py
@@ -116,6 +116,8 @@
     def take(self, port):
         taken = socket.socket()
         self.addCleanup(taken.close)
+        # As free_port() does, which offers ports with ended connections.
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         taken.bind((LOOPBACK, port))
         taken.listen()
         return taken
