Move the path of a statement to a server into a module of its own

src/routing, between fleet and entry, has the router, the runner, the service's traffic, the pools, the exchange and the checked connector, with their tests. Only names and includes change.

entry_test, routing_test and platform_test pass (x86-64).

--- a/src/entry/entry_instance.h
+++ b/src/entry/entry_instance.h
@@ -4,8 +4,8 @@
 #include "base/metric_registry.h"
 #include "entry/caller_channel.h"
 #include "entry/fleet_store.h"
-#include "entry/server_channel.h"
 #include "entry/types/entry_settings.h"
+#include "routing/server_channel.h"
 
 #include <memory>
 
@@ -18,7 +18,7 @@
     virtual ~entry_platform() = default;
 
     /// Creates connections to backend servers. May be used with the executor of any thread.
-    [[nodiscard]] virtual server_connector& connector() = 0;
+    [[nodiscard]] virtual routing::server_connector& connector() = 0;
 
     [[nodiscard]] virtual std::unique_ptr<caller_listener>
     make_listener(boost::asio::any_io_executor executor, const endpoint& address) = 0;
--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -116,7 +116,7 @@
     if (m_run == nullptr) {
         return;
     }
-    const statement_run& run = *std::exchange(m_run, nullptr);
+    const routing::statement_run& run = *std::exchange(m_run, nullptr);
     const bool unsent = run.handover->withdraw();
     auto outcome = end_without_result(run, m_admitted && !unsent);
     record_outcome(run, outcome);
@@ -150,7 +150,8 @@
     m_finish_wait.cancel();
 }
 
-run_outcome caller_service::end_without_result(const statement_run& run, bool may_have_been_sent) {
+routing::run_outcome caller_service::end_without_result(const routing::statement_run& run,
+                                                        bool may_have_been_sent) {
     unfinished_statement statement;
     statement.starts_operation = run.decision.starts_operation;
     statement.may_have_been_sent = may_have_been_sent;
@@ -163,7 +164,7 @@
     } else {
         m_session.transaction_failed();
     }
-    run_outcome outcome;
+    routing::run_outcome outcome;
     outcome.answer.code = code_without_result(statement);
     outcome.answer.state = m_session.state();
     outcome.routing_basis = "stop";
@@ -229,7 +230,7 @@
         co_await reply(std::move(answer), true);
         co_return next_step::end_session;
     }
-    statement_run run;
+    routing::statement_run run;
     run.decision = m_session.decide(statement);
     run.arrived = arrived;
     run.account = m_account;
@@ -237,7 +238,7 @@
     run.own_commit = m_session.last_commit();
     run.statement = std::move(statement);
     m_run = &run;
-    run_outcome outcome;
+    routing::run_outcome outcome;
     bool has_outcome = false;
     try {
         outcome = co_await this->run(run);
@@ -277,8 +278,8 @@
     return grant.code == answer_code::denied ? grant.code : answer_code::ok;
 }
 
-asio::awaitable<run_outcome> caller_service::run(statement_run run) {
-    run_outcome outcome;
+asio::awaitable<routing::run_outcome> caller_service::run(routing::statement_run run) {
+    routing::run_outcome outcome;
     outcome.answer.code = run.decision.code;
     run.route = &m_route;
     const bool needs_server =
@@ -334,10 +335,11 @@
     co_return outcome;
 }
 
-asio::awaitable<run_outcome> caller_service::run_in_transaction(statement_run run) {
+asio::awaitable<routing::run_outcome>
+caller_service::run_in_transaction(routing::statement_run run) {
     const bool commits = run.decision.step == session_step::commit;
     const bool writes = run.decision.writes || (m_transaction != nullptr && m_transaction->wrote());
-    run_outcome outcome;
+    routing::run_outcome outcome;
     if (m_transaction == nullptr) {
         auto& executor = m_context.executor_for(m_route.service);
         outcome =
@@ -384,7 +386,8 @@
     }
 }
 
-void caller_service::record_outcome(const statement_run& run, const run_outcome& outcome) {
+void caller_service::record_outcome(const routing::statement_run& run,
+                                    const routing::run_outcome& outcome) {
     const bool local = run.decision.step == session_step::answer;
     if (local && outcome.answer.code == answer_code::ok) {
         return; // Statements that this instance answers itself without an error are not logged.
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "entry/caller_channel.h"
-#include "entry/internal/statement_runner.h"
 #include "entry/internal/traffic_context.h"
+#include "routing/statement_runner.h"
 #include "sessions/caller_session.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -69,9 +69,11 @@
     [[nodiscard]] boost::asio::awaitable<void> wait_for_finish();
     /// Returns the outcome of a statement that is answered without its result, and updates the
     /// session's transaction state accordingly.
-    [[nodiscard]] run_outcome end_without_result(const statement_run& run, bool may_have_been_sent);
-    [[nodiscard]] boost::asio::awaitable<run_outcome> run(statement_run run);
-    [[nodiscard]] boost::asio::awaitable<run_outcome> run_in_transaction(statement_run run);
+    [[nodiscard]] routing::run_outcome end_without_result(const routing::statement_run& run,
+                                                          bool may_have_been_sent);
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome> run(routing::statement_run run);
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_in_transaction(routing::statement_run run);
     [[nodiscard]] boost::asio::awaitable<std::optional<sessions::statement>> next_statement();
     /// Sends the answer; ends the stream with it if `is_last`.
     [[nodiscard]] boost::asio::awaitable<void> reply(sessions::server_answer answer, bool is_last);
@@ -86,7 +88,7 @@
     void roll_back();
     /// Rolls back the open transaction if no statement is running.
     void abort_transaction();
-    void record_outcome(const statement_run& run, const run_outcome& outcome);
+    void record_outcome(const routing::statement_run& run, const routing::run_outcome& outcome);
 
     traffic_context& m_context;
     std::shared_ptr<caller_channel> m_channel;
@@ -97,8 +99,8 @@
     sessions::caller_session m_session;
     std::unique_ptr<statement_transaction> m_transaction;
     bool m_statement_running = false;
-    const statement_run* m_run = nullptr; ///< the statement whose outcome is awaited
-    bool m_admitted = false;              ///< whether the awaited statement is within the rate
+    const routing::statement_run* m_run = nullptr; ///< the statement whose outcome is awaited
+    bool m_admitted = false; ///< whether the awaited statement is within the rate
     bool m_ending = false;   ///< the session ends with an answer after which it is idle
     bool m_refusing = false; ///< nothing more is sent to a server
     bool m_refusing_transactions = false;
--- a/src/entry/internal/evidence_record.cpp
+++ b/src/entry/internal/evidence_record.cpp
@@ -12,7 +12,7 @@
     return std::max(now - then, clock::duration::zero());
 }
 
-peer_service_report report_of(const service_report& seen, clock::time_point now,
+peer_service_report report_of(const routing::service_report& seen, clock::time_point now,
                               clock::time_point boot_now) {
     peer_service_report out;
     out.primary = seen.evidence.server;
--- a/src/entry/internal/evidence_record.h
+++ b/src/entry/internal/evidence_record.h
@@ -47,7 +47,7 @@
         clock::time_point received_at;
     };
 
-    std::map<service_name, service_report> m_own_reports;
+    std::map<service_name, routing::service_report> m_own_reports;
     std::map<service_name, std::map<instance_id, peer_evidence>> m_peer_evidence;
 };
 
--- a/src/entry/internal/forwarding_executor.cpp
+++ b/src/entry/internal/forwarding_executor.cpp
@@ -2,7 +2,7 @@
 
 #include "entry/internal/forwarding_executor.h"
 
-#include "entry/internal/run_budget.h"
+#include "routing/run_budget.h"
 
 #include <algorithm>
 
@@ -20,7 +20,7 @@
 /// time to try a second server, which it does after 400 ms.
 constexpr clock::duration gateway_read_timeout = 650ms;
 
-forwarded_statement forwarded_from(const statement_run& run, transaction_phase phase) {
+forwarded_statement forwarded_from(const routing::statement_run& run, transaction_phase phase) {
     forwarded_statement forwarded;
     forwarded.phase = phase;
     forwarded.route = *run.route;
@@ -33,8 +33,8 @@
     return forwarded;
 }
 
-run_outcome outcome_from(forwarded_outcome forwarded, const instance_id& gateway) {
-    run_outcome outcome;
+routing::run_outcome outcome_from(forwarded_outcome forwarded, const instance_id& gateway) {
+    routing::run_outcome outcome;
     outcome.answer = std::move(forwarded.answer);
     outcome.server = std::move(forwarded.server);
     outcome.attempts = forwarded.attempts;
@@ -45,8 +45,8 @@
     return outcome;
 }
 
-run_outcome outcome_without_answer(answer_code code, const instance_id& gateway) {
-    run_outcome outcome;
+routing::run_outcome outcome_without_answer(answer_code code, const instance_id& gateway) {
+    routing::run_outcome outcome;
     outcome.answer.code = code;
     outcome.gateway = gateway;
     outcome.routing_basis = "gateway_silent";
@@ -55,8 +55,8 @@
 }
 
 /// The outcome of a statement that is not sent to a gateway, because it was withdrawn.
-run_outcome withdrawn_outcome(answer_code code) {
-    run_outcome outcome;
+routing::run_outcome withdrawn_outcome(answer_code code) {
+    routing::run_outcome outcome;
     outcome.answer.code = code;
     outcome.routing_basis = "withdrawn";
     return outcome;
@@ -70,7 +70,7 @@
 
 /// The answer code when a gateway accepted a statement whose changes may have been committed, and
 /// then did not answer.
-answer_code code_without_answer(const run_budget& budget) {
+answer_code code_without_answer(const routing::run_budget& budget) {
     return steady_clock().now() >= budget.deadline() ? answer_code::timed_out
                                                      : answer_code::in_doubt;
 }
@@ -85,13 +85,13 @@
           m_server(std::move(server)),
           m_wrote(wrote) {}
 
-    asio::awaitable<run_outcome> run_next(statement_run run) override {
+    asio::awaitable<routing::run_outcome> run_next(routing::statement_run run) override {
         const bool commits = run.statement.kind == sessions::statement_kind::commit;
-        const run_budget budget(*run.route, run.arrived);
+        const routing::run_budget budget(*run.route, run.arrived);
         auto forwarded = forwarded_from(run, transaction_phase::next);
         forwarded.transaction = m_transaction_id;
         m_wrote = m_wrote || run.decision.writes;
-        run_outcome outcome;
+        routing::run_outcome outcome;
         bool no_answer = false;
         if (!run.handover->hand_over()) {
             m_calls.roll_back(m_gateway, m_transaction_id);
@@ -134,8 +134,9 @@
 
 } // namespace
 
-asio::awaitable<run_outcome> forwarding_executor::run_autocommit(statement_run run) {
-    const run_budget budget(*run.route, run.arrived);
+asio::awaitable<routing::run_outcome>
+forwarding_executor::run_autocommit(routing::statement_run run) {
+    const routing::run_budget budget(*run.route, run.arrived);
     for (const auto& gateway : usable_gateways()) {
         auto deadline = budget.deadline() + answer_margin;
         if (!run.decision.writes) {
@@ -172,10 +173,10 @@
     co_return co_await m_local.run_autocommit(std::move(run));
 }
 
-asio::awaitable<run_outcome>
-forwarding_executor::run_first(statement_run run, bool reads_only,
+asio::awaitable<routing::run_outcome>
+forwarding_executor::run_first(routing::statement_run run, bool reads_only,
                                std::unique_ptr<statement_transaction>& transaction) {
-    const run_budget budget(*run.route, run.arrived);
+    const routing::run_budget budget(*run.route, run.arrived);
     const bool commits = run.statement.kind == sessions::statement_kind::commit;
     for (const auto& gateway : usable_gateways()) {
         bool no_answer = false;
--- a/src/entry/internal/forwarding_executor.h
+++ b/src/entry/internal/forwarding_executor.h
@@ -22,10 +22,11 @@
         m_gateways = std::move(gateways);
     }
 
-    [[nodiscard]] boost::asio::awaitable<run_outcome> run_autocommit(statement_run run) override;
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_autocommit(routing::statement_run run) override;
 
-    [[nodiscard]] boost::asio::awaitable<run_outcome>
-    run_first(statement_run run, bool reads_only,
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_first(routing::statement_run run, bool reads_only,
               std::unique_ptr<statement_transaction>& transaction) override;
 
 private:
--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -27,9 +27,9 @@
 /// Scope guard that keeps a statement in the set of running ones during its lifetime.
 class running_statement {
 public:
-    using handover_set = std::set<std::shared_ptr<statement_handover>>;
+    using handover_set = std::set<std::shared_ptr<routing::statement_handover>>;
 
-    running_statement(handover_set& running, std::shared_ptr<statement_handover> handover)
+    running_statement(handover_set& running, std::shared_ptr<routing::statement_handover> handover)
         : m_running(running), m_handover(std::move(handover)) {
         m_running.insert(m_handover);
     }
@@ -43,7 +43,7 @@
 
 private:
     handover_set& m_running;
-    std::shared_ptr<statement_handover> m_handover;
+    std::shared_ptr<routing::statement_handover> m_handover;
 };
 
 /// Throws links::peer_call_refused.
@@ -55,7 +55,7 @@
     }
 }
 
-forwarded_outcome outcome_from(run_outcome run) {
+forwarded_outcome outcome_from(routing::run_outcome run) {
     forwarded_outcome outcome;
     outcome.answer = std::move(run.answer);
     outcome.server = std::move(run.server);
@@ -178,7 +178,7 @@
 }
 
 asio::awaitable<forwarded_outcome> gateway_service::execute(forwarded_statement forwarded) {
-    statement_run run;
+    routing::statement_run run;
     run.route = &forwarded.route;
     run.account = forwarded.account;
     run.statement = forwarded.statement;
@@ -212,7 +212,7 @@
 }
 
 asio::awaitable<forwarded_outcome> gateway_service::execute_next(forwarded_statement forwarded,
-                                                                 statement_run run) {
+                                                                 routing::statement_run run) {
     run.route = &forwarded.route;
     forwarded_outcome outcome;
     const auto found = m_transactions.find(forwarded.transaction);
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -56,7 +56,7 @@
     [[nodiscard]] boost::asio::awaitable<std::string> admit(std::string params);
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome> execute(forwarded_statement forwarded);
     [[nodiscard]] boost::asio::awaitable<forwarded_outcome>
-    execute_next(forwarded_statement forwarded, statement_run run);
+    execute_next(forwarded_statement forwarded, routing::statement_run run);
     /// Rolls the transaction back, unless a statement is running in it.
     void end_transaction(std::uint64_t id);
     /// An id that no transaction has had, also not before a restart of this instance.
@@ -70,7 +70,7 @@
     /// transaction, so that an error ends both.
     std::map<std::uint64_t, held_transaction> m_transactions;
     std::unique_ptr<random_source> m_random = make_random_source();
-    std::set<std::shared_ptr<statement_handover>> m_running; ///< of the running statements
+    std::set<std::shared_ptr<routing::statement_handover>> m_running; ///< of the running statements
     bool m_leaving = false;
 };
 
--- a/src/entry/internal/local_executor.h
+++ b/src/entry/internal/local_executor.h
@@ -8,17 +8,18 @@
 /// service outlives the executor and its transactions.
 class local_executor final : public statement_executor {
 public:
-    explicit local_executor(service_traffic& service) : m_service(service) {}
+    explicit local_executor(routing::service_traffic& service) : m_service(service) {}
 
-    [[nodiscard]] boost::asio::awaitable<run_outcome> run_autocommit(statement_run run) override;
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_autocommit(routing::statement_run run) override;
 
-    [[nodiscard]] boost::asio::awaitable<run_outcome>
-    run_first(statement_run run, bool reads_only,
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_first(routing::statement_run run, bool reads_only,
               std::unique_ptr<statement_transaction>& transaction) override;
 
 private:
-    service_traffic& m_service;
-    statement_runner m_runner;
+    routing::service_traffic& m_service;
+    routing::statement_runner m_runner;
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/primary_changer.cpp
+++ b/src/entry/internal/primary_changer.cpp
@@ -41,7 +41,7 @@
 
 primary_changer::primary_changer(asio::any_io_executor executor, fleet_state& fleet,
                                  promotion_orders& orders, promotion_authority& authority,
-                                 server_connector& connector, lease_revoker& leases,
+                                 routing::server_connector& connector, lease_revoker& leases,
                                  decision_log& log, metric_registry& metrics,
                                  std::function<void()> on_change)
     : m_executor(std::move(executor)),
--- a/src/entry/internal/primary_changer.h
+++ b/src/entry/internal/primary_changer.h
@@ -4,14 +4,14 @@
 
 #include "base/decision_log.h"
 #include "base/metric_registry.h"
-#include "entry/internal/checked_connector.h"
 #include "entry/internal/fleet_state.h"
 #include "entry/internal/lease_revoker.h"
 #include "entry/internal/promotion_orders.h"
 #include "entry/internal/replica_survey.h"
 #include "entry/internal/server_queries.h"
-#include "entry/server_channel.h"
 #include "fleet/promotion_choice.h"
+#include "routing/checked_connector.h"
+#include "routing/server_channel.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,7 +30,7 @@
 public:
     primary_changer(boost::asio::any_io_executor executor, fleet_state& fleet,
                     promotion_orders& orders, promotion_authority& authority,
-                    server_connector& connector, lease_revoker& leases, decision_log& log,
+                    routing::server_connector& connector, lease_revoker& leases, decision_log& log,
                     metric_registry& metrics, std::function<void()> on_change);
 
     /// Starts the changes of primary that are due and not yet in progress.
@@ -90,7 +90,7 @@
     fleet_state& m_fleet;
     promotion_orders& m_orders;
     promotion_authority& m_authority;
-    checked_connector m_connector;
+    routing::checked_connector m_connector;
     server_queries m_queries;
     replica_survey m_survey;
     lease_revoker& m_leases;
--- a/src/entry/internal/server_queries.cpp
+++ b/src/entry/internal/server_queries.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-server_queries::server_queries(asio::any_io_executor executor, server_connector& connector,
+server_queries::server_queries(asio::any_io_executor executor, routing::server_connector& connector,
                                decision_log& log)
     : m_executor(std::move(executor)), m_connector(connector), m_log(log) {}
 
@@ -37,7 +37,8 @@
     bool sent = false;
     std::string failure;
     try {
-        connection_request request{server.address, server.service, std::move(account), server.id};
+        routing::connection_request request{server.address, server.service, std::move(account),
+                                            server.id};
         const auto opened = co_await channel->open(std::move(request), step_timeout);
         if (opened.code == sessions::answer_code::ok) {
             std::vector<server_command> commands{std::move(command)};
@@ -46,11 +47,11 @@
             const auto answer = co_await channel->receive(step_timeout);
             result = result_from(answer);
         }
-    } catch (const unexpected_answer& unexpected) {
+    } catch (const routing::unexpected_answer& unexpected) {
         failure = unexpected.what();
-    } catch (const server_timeout& timeout) {
+    } catch (const routing::server_timeout& timeout) {
         failure = timeout.what();
-    } catch (const server_unreachable& unreachable) {
+    } catch (const routing::server_unreachable& unreachable) {
         failure = unreachable.what();
         result.outcome = sent ? query_outcome::lost : query_outcome::no_answer;
     }
--- a/src/entry/internal/server_queries.h
+++ b/src/entry/internal/server_queries.h
@@ -4,8 +4,8 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
-#include "entry/server_channel.h"
 #include "fleet/types/registered_server.h"
+#include "routing/server_channel.h"
 #include "sessions/types/server_command.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -37,7 +37,7 @@
 /// runs on the control thread.
 class server_queries {
 public:
-    server_queries(boost::asio::any_io_executor executor, server_connector& connector,
+    server_queries(boost::asio::any_io_executor executor, routing::server_connector& connector,
                    decision_log& log);
 
     /// `step_timeout` limits each step: connecting, sending and receiving. Connects as `account`.
@@ -51,7 +51,7 @@
                     const std::string& failure);
 
     boost::asio::any_io_executor m_executor;
-    server_connector& m_connector;
+    routing::server_connector& m_connector;
     decision_log& m_log;
 };
 
--- a/src/entry/internal/statement_executor.h
+++ b/src/entry/internal/statement_executor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/internal/statement_runner.h"
+#include "routing/statement_runner.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -16,7 +16,8 @@
 
     /// Runs a further statement, or the commit. An outcome with `transaction_finished` ends the
     /// transaction; the object must not be used after it.
-    [[nodiscard]] virtual boost::asio::awaitable<run_outcome> run_next(statement_run run) = 0;
+    [[nodiscard]] virtual boost::asio::awaitable<routing::run_outcome>
+    run_next(routing::statement_run run) = 0;
 
     /// Starts a rollback without waiting for the answer. Precondition: no statement is running.
     virtual void roll_back() = 0;
@@ -33,11 +34,12 @@
     virtual ~statement_executor() = default;
 
     /// Runs a statement that is not part of an explicit transaction.
-    [[nodiscard]] virtual boost::asio::awaitable<run_outcome> run_autocommit(statement_run run) = 0;
+    [[nodiscard]] virtual boost::asio::awaitable<routing::run_outcome>
+    run_autocommit(routing::statement_run run) = 0;
 
     /// Runs the first statement of a transaction and sets `transaction` unless the statement fails.
-    [[nodiscard]] virtual boost::asio::awaitable<run_outcome>
-    run_first(statement_run run, bool reads_only,
+    [[nodiscard]] virtual boost::asio::awaitable<routing::run_outcome>
+    run_first(routing::statement_run run, bool reads_only,
               std::unique_ptr<statement_transaction>& transaction) = 0;
 };
 
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -25,7 +25,8 @@
 
 using sessions::answer_code;
 
-traffic_context::traffic_context(boost::asio::any_io_executor executor, server_connector& connector,
+traffic_context::traffic_context(boost::asio::any_io_executor executor,
+                                 routing::server_connector& connector,
                                  const entry_settings& settings, decision_log& log,
                                  metric_registry& metrics)
     : m_executor(std::move(executor)),
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -6,15 +6,15 @@
 #include "base/latency_histogram.h"
 #include "base/metric_registry.h"
 #include "contracts/rate_limiter.h"
-#include "entry/internal/checked_connector.h"
 #include "entry/internal/forwarding_executor.h"
 #include "entry/internal/gateway_link.h"
 #include "entry/internal/local_executor.h"
-#include "entry/internal/service_traffic.h"
 #include "entry/internal/suspension_monitor.h"
 #include "entry/types/entry_settings.h"
 #include "entry/types/traffic_report.h"
 #include "fleet/types/fleet_view.h"
+#include "routing/checked_connector.h"
+#include "routing/service_traffic.h"
 
 #include <map>
 #include <memory>
@@ -34,7 +34,7 @@
 /// accounts' rates. Not thread-safe.
 class traffic_context {
 public:
-    traffic_context(boost::asio::any_io_executor executor, server_connector& connector,
+    traffic_context(boost::asio::any_io_executor executor, routing::server_connector& connector,
                     const entry_settings& settings, decision_log& log, metric_registry& metrics);
 
     void apply(std::shared_ptr<const fleet::fleet_view> view);
@@ -107,7 +107,7 @@
     struct service_entry {
         explicit service_entry(traffic_context& context);
 
-        service_traffic traffic;
+        routing::service_traffic traffic;
         local_executor local;
         forwarding_executor forwarding;
     };
@@ -117,7 +117,7 @@
     void apply_rates();
 
     boost::asio::any_io_executor m_executor;
-    checked_connector m_connector;
+    routing::checked_connector m_connector;
     instance_id m_own;
     zone_name m_own_zone;
     fleet::primary_leasing m_leasing;
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -1,5 +1,5 @@
 #include "fake_caller.h"
-#include "fake_servers.h"
+#include "routing/tests/fake_servers.h"
 
 #include "entry/internal/caller_service.h"
 
@@ -12,6 +12,10 @@
 namespace oriole::entry {
 namespace {
 
+using routing::fake_listed;
+using routing::fake_servers;
+using routing::run_coroutine;
+
 using namespace std::chrono_literals;
 using sessions::answer_code;
 
--- a/src/entry/tests/checked_connector_test.cpp
+++ b/src/entry/tests/checked_connector_test.cpp
@@ -1,9 +1,9 @@
-#include "fake_servers.h"
 #include "recording_log.h"
+#include "routing/tests/fake_servers.h"
 
-#include "entry/internal/checked_connector.h"
 #include "entry/internal/server_queries.h"
-#include "entry/internal/statement_runner.h"
+#include "routing/checked_connector.h"
+#include "routing/statement_runner.h"
 
 #include <gtest/gtest.h>
 
@@ -12,6 +12,11 @@
 namespace oriole::entry {
 namespace {
 
+using routing::fake_listed;
+using routing::fake_servers;
+using routing::run_coroutine;
+using routing::server_script;
+
 using namespace std::chrono_literals;
 using sessions::answer_code;
 using sessions::command_kind;
@@ -35,8 +40,8 @@
         m_service.apply(usable);
     }
 
-    statement_run make(const std::string& text) {
-        statement_run run;
+    routing::statement_run make(const std::string& text) {
+        routing::statement_run run;
         run.route = &m_route;
         run.account = account_name("t");
         run.statement.id = "5c0e";
@@ -68,14 +73,14 @@
 
     /// Acquires the pool's only connection, on which a read has received an error, by waiting for
     /// it.
-    pool_grant wait_for_connection_with_an_error() {
+    routing::pool_grant wait_for_connection_with_an_error() {
         m_primary.busy_statements = 1;
-        const auto pool = std::make_shared<server_pool>(m_io.get_executor(), m_connector,
-                                                        fake_listed("primary", "far"));
+        const auto pool = std::make_shared<routing::server_pool>(m_io.get_executor(), m_connector,
+                                                                 fake_listed("primary", "far"));
         pool->set_limit(1);
         const account_name account("t");
         auto held = run_coroutine(m_io, pool->acquire(account, {}, steady_clock().now()));
-        exchange_plan plan;
+        routing::exchange_plan plan;
         plan.statement.text = "READ a";
         static_cast<void>(run_coroutine(m_io, exchange(*pool, *held.connection, plan, 100ms)));
         boost::asio::steady_timer timer(m_io, 5ms);
@@ -92,13 +97,13 @@
 
     /// Makes the pool of a server with this number of connections, one of which is being confirmed
     /// until the coroutines run again.
-    std::shared_ptr<server_pool> pool_with_a_confirmation(int limit) {
+    std::shared_ptr<routing::server_pool> pool_with_a_confirmation(int limit) {
         m_primary.busy_statements = 1;
-        auto pool = std::make_shared<server_pool>(m_io.get_executor(), m_connector,
-                                                  fake_listed("primary", "far"));
+        auto pool = std::make_shared<routing::server_pool>(m_io.get_executor(), m_connector,
+                                                           fake_listed("primary", "far"));
         pool->set_limit(limit);
         auto held = acquire(*pool, "t");
-        exchange_plan plan;
+        routing::exchange_plan plan;
         plan.statement.text = "READ a";
         static_cast<void>(run_coroutine(m_io, exchange(*pool, *held.connection, plan, 100ms)));
         m_primary.answer_delay = 5ms;
@@ -106,7 +111,7 @@
         return pool;
     }
 
-    pool_grant acquire(server_pool& pool, const std::string& account) {
+    routing::pool_grant acquire(routing::server_pool& pool, const std::string& account) {
         return run_coroutine(m_io,
                              pool.acquire(account_name(account), {}, steady_clock().now() + 1s));
     }
@@ -121,12 +126,12 @@
     server_script& m_replica = m_servers.at("replica");
     recording_log m_log;
     metric_registry m_metrics;
-    checked_connector m_connector{m_servers, m_log, m_metrics};
+    routing::checked_connector m_connector{m_servers, m_log, m_metrics};
     fleet::route m_route;
-    service_traffic m_service{m_io.get_executor(), m_connector, zone_name("near")};
-    statement_runner m_runner;
+    routing::service_traffic m_service{m_io.get_executor(), m_connector, zone_name("near")};
+    routing::statement_runner m_runner;
     sessions::session_values m_values;
-    std::unique_ptr<open_transaction> m_transaction;
+    std::unique_ptr<routing::open_transaction> m_transaction;
 };
 
 // Guards against a write that runs twice: the repeated BUSY of its first attempt was taken for the
@@ -299,10 +304,11 @@
 TEST_F(checked_connector_test, second_request_does_not_wait_for_the_same_confirmation) {
     const auto pool = pool_with_a_confirmation(2);
     EXPECT_FALSE(pool->available(account_name("t")));
-    pool_grant first;
-    boost::asio::co_spawn(
-        m_io, pool->acquire(account_name("t"), {}, steady_clock().now() + 1s),
-        [&first](const std::exception_ptr&, pool_grant grant) { first = std::move(grant); });
+    routing::pool_grant first;
+    boost::asio::co_spawn(m_io, pool->acquire(account_name("t"), {}, steady_clock().now() + 1s),
+                          [&first](const std::exception_ptr&, routing::pool_grant grant) {
+                              first = std::move(grant);
+                          });
     auto second = acquire(*pool, "t");
     EXPECT_TRUE(first.connection);
     EXPECT_FALSE(first.opened);
@@ -312,13 +318,13 @@
 
 // Guards against closing a connection of another account that the pool has room for.
 TEST_F(checked_connector_test, connection_is_kept_while_others_wait_for_a_confirmation) {
-    const auto pool = std::make_shared<server_pool>(m_io.get_executor(), m_connector,
-                                                    fake_listed("primary", "far"));
+    const auto pool = std::make_shared<routing::server_pool>(m_io.get_executor(), m_connector,
+                                                             fake_listed("primary", "far"));
     pool->set_limit(3);
     auto other = acquire(*pool, "other");
     auto held = acquire(*pool, "t");
     m_primary.busy_statements = 1;
-    exchange_plan plan;
+    routing::exchange_plan plan;
     plan.statement.text = "READ a";
     static_cast<void>(run_coroutine(m_io, exchange(*pool, *held.connection, plan, 100ms)));
     m_primary.answer_delay = 5ms;
--- a/src/entry/tests/forwarding_executor_test.cpp
+++ b/src/entry/tests/forwarding_executor_test.cpp
@@ -1,4 +1,4 @@
-#include "fake_servers.h"
+#include "routing/tests/fake_servers.h"
 
 #include "entry/internal/forwarding_executor.h"
 
@@ -9,6 +9,9 @@
 namespace oriole::entry {
 namespace {
 
+using routing::fake_servers;
+using routing::run_coroutine;
+
 using namespace std::chrono_literals;
 using sessions::answer_code;
 
@@ -54,15 +57,16 @@
 /// Counts the statements that run over the instance's own connections.
 class fake_local final : public statement_executor {
 public:
-    [[nodiscard]] boost::asio::awaitable<run_outcome> run_autocommit(statement_run) override {
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_autocommit(routing::statement_run) override {
         ++runs;
-        co_return run_outcome{};
+        co_return routing::run_outcome{};
     }
 
-    [[nodiscard]] boost::asio::awaitable<run_outcome>
-    run_first(statement_run, bool, std::unique_ptr<statement_transaction>&) override {
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_first(routing::statement_run, bool, std::unique_ptr<statement_transaction>&) override {
         ++runs;
-        co_return run_outcome{};
+        co_return routing::run_outcome{};
     }
 
     int runs = 0;
@@ -79,8 +83,8 @@
         m_executor.set_gateways(gateways);
     }
 
-    statement_run make(const std::string& text) {
-        statement_run run;
+    routing::statement_run make(const std::string& text) {
+        routing::statement_run run;
         run.route = &m_route;
         run.statement.text = text;
         run.decision.writes = text.starts_with("WRITE");
@@ -91,15 +95,15 @@
         return run;
     }
 
-    run_outcome run_autocommit(const std::string& text) {
+    routing::run_outcome run_autocommit(const std::string& text) {
         return run_coroutine(m_io, m_executor.run_autocommit(make(text)));
     }
 
-    run_outcome begin(const std::string& text) {
+    routing::run_outcome begin(const std::string& text) {
         return run_coroutine(m_io, m_executor.run_first(make(text), false, m_transaction));
     }
 
-    run_outcome next(const std::string& text) {
+    routing::run_outcome next(const std::string& text) {
         return run_coroutine(m_io, m_transaction->run_next(make(text)));
     }
 
--- a/src/entry/tests/gateway_service_test.cpp
+++ b/src/entry/tests/gateway_service_test.cpp
@@ -1,5 +1,5 @@
-#include "fake_servers.h"
 #include "recording_log.h"
+#include "routing/tests/fake_servers.h"
 
 #include "entry/internal/forwarding_executor.h"
 #include "entry/internal/gateway_link.h"
@@ -11,6 +11,10 @@
 namespace oriole::entry {
 namespace {
 
+using routing::fake_listed;
+using routing::fake_servers;
+using routing::server_script;
+
 using namespace std::chrono_literals;
 using sessions::answer_code;
 using sessions::command_kind;
@@ -18,15 +22,16 @@
 /// Counts the statements that run over the instance's own connections instead of at the gateway.
 class counting_executor final : public statement_executor {
 public:
-    [[nodiscard]] boost::asio::awaitable<run_outcome> run_autocommit(statement_run) override {
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_autocommit(routing::statement_run) override {
         ++runs;
-        co_return run_outcome{};
+        co_return routing::run_outcome{};
     }
 
-    [[nodiscard]] boost::asio::awaitable<run_outcome>
-    run_first(statement_run, bool, std::unique_ptr<statement_transaction>&) override {
+    [[nodiscard]] boost::asio::awaitable<routing::run_outcome>
+    run_first(routing::statement_run, bool, std::unique_ptr<statement_transaction>&) override {
         ++runs;
-        co_return run_outcome{};
+        co_return routing::run_outcome{};
     }
 
     int runs = 0;
@@ -54,8 +59,8 @@
         m_executor.set_gateways({gateway});
     }
 
-    statement_run make(const std::string& text) {
-        statement_run run;
+    routing::statement_run make(const std::string& text) {
+        routing::statement_run run;
         run.route = &m_route;
         run.account = account_name("t");
         run.statement.id = "1";
@@ -70,26 +75,27 @@
     }
 
     /// Runs the event loop until the coroutine has ended, although the gateway still listens.
-    run_outcome finish(boost::asio::awaitable<run_outcome> work) {
-        std::optional<run_outcome> result;
-        boost::asio::co_spawn(
-            m_io, std::move(work),
-            [&](const std::exception_ptr&, run_outcome outcome) { result = std::move(outcome); });
+    routing::run_outcome finish(boost::asio::awaitable<routing::run_outcome> work) {
+        std::optional<routing::run_outcome> result;
+        boost::asio::co_spawn(m_io, std::move(work),
+                              [&](const std::exception_ptr&, routing::run_outcome outcome) {
+                                  result = std::move(outcome);
+                              });
         m_io.restart();
         while (!result && m_io.run_one_for(10s) == 1U) {
         }
         return std::move(result).value();
     }
 
-    run_outcome run_autocommit(const std::string& text) {
+    routing::run_outcome run_autocommit(const std::string& text) {
         return finish(m_executor.run_autocommit(make(text)));
     }
 
-    run_outcome begin(const std::string& text) {
+    routing::run_outcome begin(const std::string& text) {
         return finish(m_executor.run_first(make(text), false, m_transaction));
     }
 
-    run_outcome next(const std::string& text) {
+    routing::run_outcome next(const std::string& text) {
         return finish(m_transaction->run_next(make(text)));
     }
 
@@ -189,8 +195,8 @@
 // the write waits for a connection to its server.
 TEST_F(gateway_service_test, write_that_waits_at_a_gateway_runs_elsewhere_when_it_is_withdrawn) {
     m_primary.answer_delay = 400ms;
-    std::vector<run_outcome> outcomes;
-    const auto collect = [&outcomes](const std::exception_ptr&, run_outcome outcome) {
+    std::vector<routing::run_outcome> outcomes;
+    const auto collect = [&outcomes](const std::exception_ptr&, routing::run_outcome outcome) {
         outcomes.push_back(std::move(outcome));
     };
     for (const auto* text : {"WRITE a b", "WRITE a c"}) {
--- a/src/entry/tests/replica_survey_test.cpp
+++ b/src/entry/tests/replica_survey_test.cpp
@@ -1,5 +1,5 @@
-#include "fake_servers.h"
 #include "recording_log.h"
+#include "routing/tests/fake_servers.h"
 
 #include "entry/internal/replica_survey.h"
 
@@ -8,6 +8,11 @@
 namespace oriole::entry {
 namespace {
 
+using routing::fake_listed;
+using routing::fake_servers;
+using routing::run_coroutine;
+using routing::server_script;
+
 using namespace std::chrono_literals;
 using machines::log_position;
 using sessions::command_kind;
--- a/src/entry/tests/traffic_thread_test.cpp
+++ b/src/entry/tests/traffic_thread_test.cpp
@@ -1,6 +1,6 @@
 #include "fake_caller.h"
-#include "fake_servers.h"
 #include "recording_log.h"
+#include "routing/tests/fake_servers.h"
 
 #include "entry/internal/traffic_thread.h"
 
@@ -13,6 +13,9 @@
 namespace oriole::entry {
 namespace {
 
+using routing::fake_listed;
+using routing::fake_servers;
+
 using namespace std::chrono_literals;
 using sessions::answer_code;
 
@@ -47,7 +50,7 @@
 /// traffic thread does not use.
 class fake_platform final : public entry_platform {
 public:
-    [[nodiscard]] server_connector& connector() override { return servers; }
+    [[nodiscard]] routing::server_connector& connector() override { return servers; }
 
     [[nodiscard]] std::unique_ptr<caller_listener>
     make_listener(boost::asio::any_io_executor executor, const endpoint&) override {
--- a/src/entry/types/traffic_report.h
+++ b/src/entry/types/traffic_report.h
@@ -1,26 +1,15 @@
 #pragma once
 
 #include "base/types/name.h"
-#include "fleet/types/primary_evidence.h"
-#include "sessions/position_proofs.h"
+#include "routing/types/service_report.h"
 
 #include <map>
 
 namespace oriole::entry {
 
-/// What the traffic thread has observed about one service.
-struct service_report {
-    /// Evidence about the server that the traffic thread treats as the primary.
-    fleet::primary_evidence evidence;
-    server_name proven_server; ///< server that gave the newest position proof
-    sessions::position_proof proof;
-
-    friend bool operator==(const service_report&, const service_report&) = default;
-};
-
 /// Periodic report of the traffic thread to the control thread.
 struct traffic_report {
-    std::map<service_name, service_report> services;
+    std::map<service_name, routing::service_report> services;
 
     friend bool operator==(const traffic_report&, const traffic_report&) = default;
 };
--- a/src/entry/internal/checked_connector.h
+++ b/src/routing/checked_connector.h
@@ -3,11 +3,11 @@
 #include "base/decision_log.h"
 #include "base/metric_registry.h"
 #include "base/random_source.h"
-#include "entry/server_channel.h"
+#include "routing/server_channel.h"
 
 #include <memory>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// Makes channels that check each answer against the command to which it is attributed, so that the
 /// repetition of an earlier answer is not taken for the answer to a later command. A channel that
@@ -29,4 +29,4 @@
     std::unique_ptr<random_source> m_random = make_random_source();
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/checked_connector.cpp
+++ b/src/routing/internal/checked_connector.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "entry/internal/checked_connector.h"
+#include "routing/checked_connector.h"
 
 #include "sessions/answer_matcher.h"
 #include "sessions/connection_confirmation.h"
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 namespace asio = boost::asio;
@@ -183,4 +183,4 @@
                                              m_unexpected_answers, *m_random);
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/server_exchange.cpp
+++ b/src/routing/internal/server_exchange.cpp
@@ -1,10 +1,10 @@
 #include <utility>
 
-#include "entry/internal/server_exchange.h"
+#include "routing/server_exchange.h"
 
 #include <algorithm>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 namespace asio = boost::asio;
@@ -174,4 +174,4 @@
     co_return co_await run.run(std::move(plan));
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "entry/internal/server_pool.h"
+#include "routing/server_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,7 +9,7 @@
 
 #include <algorithm>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 namespace asio = boost::asio;
@@ -401,4 +401,4 @@
     }
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -1,13 +1,13 @@
 #include <utility>
 
-#include "entry/internal/service_traffic.h"
+#include "routing/service_traffic.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 namespace asio = boost::asio;
@@ -204,4 +204,4 @@
     }
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -1,10 +1,10 @@
 #include <utility>
 
-#include "entry/internal/statement_router.h"
+#include "routing/internal/statement_router.h"
 
 #include <algorithm>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 namespace asio = boost::asio;
@@ -349,4 +349,4 @@
     return outcome;
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/statement_router.h
+++ b/src/routing/internal/statement_router.h
@@ -2,15 +2,15 @@
 
 #include <utility>
 
-#include "entry/internal/run_budget.h"
-#include "entry/internal/statement_runner.h"
+#include "routing/run_budget.h"
+#include "routing/statement_runner.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
 #include <set>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// Builds the message that runs a client's statement at a server: the unchanged text, or for a
 /// prepared statement an execute command with the statement's name on the connection.
@@ -95,4 +95,4 @@
     int m_attempts = 0;
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/statement_runner.cpp
+++ b/src/routing/internal/statement_runner.cpp
@@ -1,14 +1,14 @@
 #include <utility>
 
-#include "entry/internal/statement_runner.h"
+#include "routing/statement_runner.h"
 
-#include "entry/internal/run_budget.h"
-#include "entry/internal/statement_router.h"
+#include "routing/internal/statement_router.h"
+#include "routing/run_budget.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 namespace asio = boost::asio;
@@ -143,4 +143,4 @@
     asio::co_spawn(executor, send_rollback(std::move(transaction)), asio::detached);
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/run_budget.h
+++ b/src/routing/run_budget.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "fleet/types/configuration.h"
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// Time limits of one statement, from its route's settings and its arrival time.
 class run_budget {
@@ -31,4 +31,4 @@
     clock::time_point m_wait_deadline;
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/server_channel.h
+++ b/src/routing/server_channel.h
@@ -14,7 +14,7 @@
 #include <memory>
 #include <vector>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// The connection to a backend server failed, or its answer could not be parsed.
 class server_unreachable : public error {
@@ -106,4 +106,4 @@
     make_channel(boost::asio::any_io_executor executor) = 0;
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/server_exchange.h
+++ b/src/routing/server_exchange.h
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "entry/internal/server_pool.h"
+#include "routing/server_pool.h"
 #include "sessions/types/server_command.h"
 #include "sessions/types/session_values.h"
 
@@ -11,7 +11,7 @@
 #include <optional>
 #include <vector>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// How far a client's statement got at a server.
 enum class exchange_status {
@@ -52,4 +52,4 @@
                                                                exchange_plan plan,
                                                                clock::duration limit);
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/server_pool.h
+++ b/src/routing/server_pool.h
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include "base/clock.h"
-#include "entry/server_channel.h"
 #include "fleet/types/fleet_view.h"
 #include "fleet/types/primary_evidence.h"
+#include "routing/server_channel.h"
 #include "sessions/server_connection_state.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -18,7 +18,7 @@
 #include <optional>
 #include <set>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// Time limit for confirming a connection after an error, which takes one round trip.
 constexpr clock::duration confirmation_limit = std::chrono::milliseconds(250);
@@ -150,4 +150,4 @@
     clock::time_point m_no_new_connections_until{};
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -2,10 +2,10 @@
 
 #include <utility>
 
-#include "entry/internal/server_pool.h"
-#include "entry/types/traffic_report.h"
 #include "fleet/types/fleet_view.h"
 #include "fleet/types/primary_grant.h"
+#include "routing/server_pool.h"
+#include "routing/types/service_report.h"
 #include "sessions/position_proofs.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,7 +17,7 @@
 #include <optional>
 #include <vector>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 using pool_ptr = std::shared_ptr<server_pool>;
 
@@ -116,4 +116,4 @@
     std::vector<std::shared_ptr<boost::asio::steady_timer>> m_primary_waiters;
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/statement_handover.h
+++ b/src/routing/statement_handover.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// Whether a statement has been handed to a server or a gateway. Shared by the executor and by
 /// those who end a statement that is still waiting to be sent. Not thread-safe; used on the traffic
@@ -33,4 +33,4 @@
     bool m_withdrawn = false;
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/internal/statement_runner.h
+++ b/src/routing/statement_runner.h
@@ -4,10 +4,10 @@
 
 #include "base/decision_log.h"
 #include "base/metric_registry.h"
-#include "entry/internal/server_exchange.h"
-#include "entry/internal/service_traffic.h"
-#include "entry/internal/statement_handover.h"
 #include "fleet/types/configuration.h"
+#include "routing/server_exchange.h"
+#include "routing/service_traffic.h"
+#include "routing/statement_handover.h"
 #include "sessions/caller_session.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,7 +15,7 @@
 #include <memory>
 #include <optional>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// A statement with everything that determines where it may run.
 struct statement_run {
@@ -78,4 +78,4 @@
     static void roll_back(std::unique_ptr<open_transaction> transaction);
 };
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/tests/fake_servers.h
+++ b/src/routing/tests/fake_servers.h
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "entry/internal/service_traffic.h"
-#include "entry/server_channel.h"
+#include "routing/server_channel.h"
+#include "routing/service_traffic.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,7 +18,7 @@
 #include <string>
 #include <vector>
 
-namespace oriole::entry {
+namespace oriole::routing {
 
 /// Scripted behaviour of a fake server, and what it has received.
 struct server_script {
@@ -228,4 +228,4 @@
     return server;
 }
 
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/tests/server_exchange_test.cpp
+++ b/src/routing/tests/server_exchange_test.cpp
@@ -1,10 +1,10 @@
-#include "fake_servers.h"
+#include "routing/tests/fake_servers.h"
 
-#include "entry/internal/server_exchange.h"
+#include "routing/server_exchange.h"
 
 #include <gtest/gtest.h>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -143,4 +143,4 @@
 }
 
 } // namespace
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/tests/server_pool_test.cpp
+++ b/src/routing/tests/server_pool_test.cpp
@@ -1,10 +1,10 @@
-#include "fake_servers.h"
+#include "routing/tests/fake_servers.h"
 
-#include "entry/internal/server_pool.h"
+#include "routing/server_pool.h"
 
 #include <gtest/gtest.h>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -94,4 +94,4 @@
 }
 
 } // namespace
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/tests/statement_handover_test.cpp
+++ b/src/routing/tests/statement_handover_test.cpp
@@ -1,8 +1,8 @@
-#include "entry/internal/statement_handover.h"
+#include "routing/statement_handover.h"
 
 #include <gtest/gtest.h>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 class statement_handover_test : public testing::Test {
@@ -34,4 +34,4 @@
 }
 
 } // namespace
-} // namespace oriole::entry
+} // namespace oriole::routing
--- a/src/entry/tests/statement_runner_test.cpp
+++ b/src/routing/tests/statement_runner_test.cpp
@@ -1,12 +1,12 @@
-#include "fake_servers.h"
+#include "routing/tests/fake_servers.h"
 
-#include "entry/internal/statement_runner.h"
+#include "routing/statement_runner.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
-namespace oriole::entry {
+namespace oriole::routing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -274,4 +274,4 @@
 }
 
 } // namespace
-} // namespace oriole::entry
+} // namespace oriole::routing
