--- a/src/entry/internal/json_fields.cpp
+++ b/src/entry/internal/json_fields.cpp
@@ -71,7 +71,8 @@
             {"timeout", encode_duration(route.statement_timeout)},
             {"target", encode_duration(route.latency_target)},
             {"age", encode_duration(route.max_age)},
-            {"open", route.open_to_all}};
+            {"open", route.open_to_all},
+            {"priority", route.priority}};
 }
 
 fleet::route decode_route(const json& in) {
@@ -83,6 +84,8 @@
     route.latency_target = decode_duration(in.at("target"));
     route.max_age = decode_duration(in.at("age"));
     route.open_to_all = in.at("open").get<bool>();
+    // Instances of an earlier version send no priority.
+    route.priority = in.value("priority", 0);
     return route;
 }
 
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -59,6 +59,7 @@
             {"draining", server.draining},
             {"primary", server.primary},
             {"born", server.start_time_ms},
+            {"slots", server.slots},
             {"sequence", server.sequence},
             {"era", server.revision.era},
             {"revision", server.revision.number}};
@@ -74,6 +75,8 @@
     server.draining = in.at("draining").get<bool>();
     server.primary = in.at("primary").get<bool>();
     server.start_time_ms = in.at("born").get<std::int64_t>();
+    // Instances of an earlier version send no slots.
+    server.slots = in.value("slots", 0);
     server.sequence = in.value("sequence", std::uint64_t{0});
     server.revision = {in.value("era", std::uint64_t{0}), in.at("revision").get<std::uint64_t>()};
     return server;
--- a/src/fleet/types/configuration.h
+++ b/src/fleet/types/configuration.h
@@ -20,6 +20,8 @@
     clock::duration latency_target{}; ///< target duration of a whole operation
     clock::duration max_age{};        ///< maximum staleness of a read, unless the policy is newest
     bool open_to_all = false;         ///< callers need no account
+    /// Urgency of the route's statements under overload; 0 is the most urgent.
+    int priority = 0;
 
     friend bool operator==(const route&, const route&) = default;
 };
--- a/src/fleet/types/registered_server.h
+++ b/src/fleet/types/registered_server.h
@@ -19,6 +19,8 @@
     /// Start of the server's process, in ms since 1970. A server that was restarted has lost its
     /// connections and prepared statements.
     std::int64_t start_time_ms = 0;
+    /// Statements that the server executes at a time; 0 when it is not known.
+    int slots = 0;
     /// Number of the server's write of this entry; increases from write to write of one process. 0
     /// when it is not known.
     std::uint64_t sequence = 0;
