--- a/src/entry/tests/forwarding_executor_test.cpp
+++ b/src/entry/tests/forwarding_executor_test.cpp
@@ -9,7 +9,6 @@
 namespace oriole::entry {
 namespace {
 
-using routing::fake_servers;
 using routing::run_coroutine;
 
 using namespace std::chrono_literals;
