Notice partitions that refuse connections, and instances that are cut off alone

What callers saw: in a zone whose links refused connections, instances stayed in rotation for 5 s to 7 s after the cut; and an instance that reached none of the others stayed in rotation all the while, though it may admit only a reserve of its accounts' rates.

Cause: a refused connection counts as the end of the peer's process, so that an untried instance takes its place among the report peers, and a zone counted as cut off only after each of them had failed. Nothing looked at an instance alone.

entry/internal/peer_reachability keeps what failed since the last answer. Three failures without an answer for 500 ms, while the store is lost too, count as the loss of the other zones; three silent instances for 1.2 s as this one's own cut. It is then not ready and closes quiet sessions, as in an isolated zone.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -333,24 +333,37 @@
 
 void control_thread::update_isolation() {
     const auto now = steady_clock().now();
+    const bool was_cut_off = cut_off();
     // While isolated, clients are sent to other zones, so no statement here would show that the
     // primaries are reachable again. Therefore m_isolated keeps the state until another zone
     // answers.
     // If connections to all instances of the other zones are refused, they may have ended, or a
     // partition refuses the connections. The store tells which: a partition cuts it off too.
-    const bool still_cut_off = m_isolated && m_store_lost_since.has_value();
-    const bool lost_other_zones = m_peers.lost_other_zones(m_own.zone).value_or(still_cut_off);
+    const auto& reachability = m_peers.reachability();
+    const bool store_lost = m_store_lost_since.has_value();
+    const bool lost_report_peers =
+        reachability.lost_report_peers(m_fleet.report_peers()).value_or(m_isolated && store_lost);
+    const bool lost_other_zones =
+        lost_report_peers || (store_lost && reachability.lost_other_zones(now));
     const bool isolated = m_fleet.zone_isolated(now).value_or(
         lost_other_zones && (m_isolated || m_fleet.most_primaries_failing(now)));
-    if (isolated == m_isolated) {
-        return;
+    if (isolated != m_isolated) {
+        m_isolated = isolated;
+        m_fleet.set_isolated(isolated);
+        m_log.write(log_entry("isolation")
+                        .add("zone", m_own.zone.str())
+                        .add("outcome", isolated ? "isolated" : "connected"));
+    }
+    const bool alone = reachability.lost_all(now);
+    if (alone != m_alone) {
+        m_alone = alone;
+        m_log.write(log_entry("isolation")
+                        .add("instance", m_own.id.str())
+                        .add("outcome", alone ? "alone" : "connected"));
+    }
+    if (cut_off() != was_cut_off) {
+        m_traffic.set_isolated(cut_off());
     }
-    m_isolated = isolated;
-    m_fleet.set_isolated(isolated);
-    m_log.write(log_entry("isolation")
-                    .add("zone", m_own.zone.str())
-                    .add("outcome", isolated ? "isolated" : "connected"));
-    m_traffic.set_isolated(isolated);
 }
 
 void control_thread::publish() {
@@ -370,7 +383,7 @@
     }
     auto view = m_fleet.make_view(now);
     const bool was_ready = m_ready;
-    m_ready = view.ready && !m_leaving && !m_isolated;
+    m_ready = view.ready && !m_leaving && !cut_off();
     if (m_ready != was_ready) {
         m_log.write(log_entry("readiness").add("outcome", m_ready ? "ready" : "not_ready"));
     }
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -67,6 +67,10 @@
     void on_store_health(bool reachable);
     void on_traffic(const traffic_report& report);
     void update_isolation();
+
+    /// Whether callers are better served by instances of which this one is cut off.
+    [[nodiscard]] bool cut_off() const noexcept { return m_isolated || m_alone; }
+
     void publish();
     /// Publishes the state and waits until the traffic thread uses it.
     [[nodiscard]] boost::asio::awaitable<void> publish_and_wait();
@@ -96,6 +100,9 @@
     bool m_leaving = false;
     bool m_primary_failed = false;
     bool m_isolated = false; ///< this zone is cut off from the other zones and from most primaries
+    /// This instance reaches no other one. It admits and runs only a small part of what its callers
+    /// ask, which the others serve.
+    bool m_alone = false;
 };
 
 } // namespace oriole::entry
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -36,7 +36,8 @@
       m_unexpected_replies(log, metrics),
       m_link(links::make_peer_link(m_executor, fleet_secret())),
       m_server(links::make_peer_server(m_executor, listen, "peers", fleet_secret())),
-      m_apply_orders(std::move(apply_orders)) {
+      m_apply_orders(std::move(apply_orders)),
+      m_reachability(m_fleet.own_zone()) {
     m_server->add_method(report_method,
                          [this](std::string text) { return answer(std::move(text)); });
 }
@@ -116,13 +117,13 @@
         answer.orders = std::move(report.orders);
         answer.answered = true;
     } catch (const links::peer_not_running& failure) {
-        set_reachable(peer.id, false, failure.what());
+        record_end(peer, exchange_end::refused, failure.what());
         m_fleet.mark_refused(peer.id, peer.incarnation, steady_clock().now());
     } catch (const links::unexpected_answer& failure) {
         m_unexpected_replies.report(peer.id, failure.what());
-        set_reachable(peer.id, false, failure.what());
+        record_end(peer, exchange_end::silent, failure.what());
     } catch (const std::exception& failure) {
-        set_reachable(peer.id, false, failure.what());
+        record_end(peer, exchange_end::silent, failure.what());
     }
     co_return answer;
 }
@@ -138,7 +139,7 @@
     auto report = decode_report(answered);
     log_unusable_names(report);
     m_fleet.merge_report(report, asked, steady_clock().now());
-    set_reachable(peer.id, true, "answered");
+    record_end(peer, exchange_end::answered, "answered");
     co_await apply_learned_orders();
     co_return report;
 }
@@ -177,31 +178,14 @@
     return m_fleet.is_polled_peer(peer.id) || m_fleet.any_primary_failing();
 }
 
-std::optional<bool> peer_exchange::lost_other_zones(const zone_name& own_zone) const {
-    bool any_peer_outside = false;
-    for (const auto& peer : m_fleet.report_peers()) {
-        if (peer.zone == own_zone) {
-            continue;
-        }
-        const auto known = m_reachable.find(peer.id);
-        if (known == m_reachable.end() || known->second) {
-            return false;
-        }
-        any_peer_outside = true;
-    }
-    return any_peer_outside ? std::optional(true) : std::nullopt;
-}
-
-void peer_exchange::set_reachable(const instance_id& peer, bool reachable,
-                                  const std::string& reason) {
-    const auto known = m_reachable.find(peer);
-    if (known != m_reachable.end() && known->second == reachable) {
+void peer_exchange::record_end(const fleet::registered_instance& peer, exchange_end end,
+                               const std::string& reason) {
+    if (!m_reachability.record(peer.id, peer.zone, end, steady_clock().now())) {
         return;
     }
-    m_reachable[peer] = reachable;
     m_log.write(log_entry("peer")
-                    .add("instance", peer.str())
-                    .add("outcome", reachable ? "reached" : "lost")
+                    .add("instance", peer.id.str())
+                    .add("outcome", end == exchange_end::answered ? "reached" : "lost")
                     .add("reason", reason));
 }
 
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -4,6 +4,7 @@
 
 #include "base/decision_log.h"
 #include "entry/internal/fleet_state.h"
+#include "entry/internal/peer_reachability.h"
 #include "entry/internal/unexpected_replies.h"
 #include "links/peer_link.h"
 
@@ -52,9 +53,8 @@
     /// Tells all report peers that this instance is shutting down.
     void announce_leaving();
 
-    /// Returns whether there are report peers outside `own_zone` and the last exchange with each
-    /// of them failed; nullopt when there are none.
-    [[nodiscard]] std::optional<bool> lost_other_zones(const zone_name& own_zone) const;
+    /// What the exchanges show about the network around this instance.
+    [[nodiscard]] const peer_reachability& reachability() const noexcept { return m_reachability; }
 
     void stop() { m_server->stop(); }
 
@@ -69,7 +69,8 @@
     /// whose evidence is needed only while this instance sees a primary failing.
     [[nodiscard]] bool should_poll(const fleet::registered_instance& peer) const;
     void log_unusable_names(const peer_report& report);
-    void set_reachable(const instance_id& peer, bool reachable, const std::string& reason);
+    void record_end(const fleet::registered_instance& peer, exchange_end end,
+                    const std::string& reason);
 
     boost::asio::any_io_executor m_executor;
     fleet_state& m_fleet;
@@ -80,7 +81,7 @@
     std::function<boost::asio::awaitable<void>()> m_apply_orders;
     int m_orders_being_applied = 0;
     std::set<instance_id> m_exchanges_in_progress;
-    std::map<instance_id, bool> m_reachable;
+    peer_reachability m_reachability;
     bool m_leaving = false;
 };
 
