Turn the promotion lease into a lease of any duty

Usage reports need the same lease as promotions: for a few seconds only the instance that wrote the last order may write the next one. The promotion lease was bound to services and to promotion orders.

--- a/src/entry/internal/fleet_state.cpp
+++ b/src/entry/internal/fleet_state.cpp
@@ -31,7 +31,6 @@
       m_evacuated(log),
       m_instances(m_own),
       m_rates(m_own),
-      m_promotion_leases(m_own.id),
       m_leases(m_own.zone, zone_count) {
     update_roles();
 }
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -10,8 +10,8 @@
 #include "entry/internal/primary_leases.h"
 #include "entry/types/peer_report.h"
 #include "entry/types/traffic_report.h"
+#include "fleet/duty_lease.h"
 #include "fleet/primary_monitor.h"
-#include "fleet/promotion_lease.h"
 #include "fleet/rate_lending.h"
 #include "fleet/server_directory.h"
 #include "fleet/types/fleet_view.h"
@@ -95,12 +95,12 @@
     /// Returns whether this instance may issue the promotion order that follows `last`, the order
     /// that the store holds now.
     [[nodiscard]] bool may_promote(const fleet::promotion_order& last, clock::time_point now) {
-        return m_promotion_leases.may_promote(last, now);
+        return promotion_lease_of(last.service).may_act(last.holder, last.fence, now);
     }
 
     /// Records a promotion order that this instance has issued.
     void record_issued_order(const fleet::promotion_order& order, clock::time_point now) {
-        m_promotion_leases.seen(order.service, order.fence, now);
+        promotion_lease_of(order.service).seen(order.fence, now);
         m_last_promoters[order.service] = order.holder;
     }
 
@@ -238,6 +238,7 @@
     [[nodiscard]] bool has_comparable_revisions(const peer_report& report) const;
     /// The revisions in the report; where it states no eras, with those of this instance.
     [[nodiscard]] known_revisions revisions_of(const peer_report& report) const;
+    [[nodiscard]] fleet::duty_lease& promotion_lease_of(const service_name& service);
     void update_primary_monitors();
     void update_roles();
     void apply_released_loans(const peer_report& report);
@@ -264,7 +265,7 @@
     fleet::rate_lending m_rates;
     std::map<service_name, std::unique_ptr<fleet::primary_monitor>> m_primary_monitors;
     std::map<service_name, instance_id> m_last_promoters;
-    fleet::promotion_lease m_promotion_leases;
+    std::map<service_name, fleet::duty_lease> m_promotion_leases;
     primary_leases m_leases;
     std::map<service_name, sessions::position_proof> m_peer_proofs;
     /// When a watcher of this instance's zone last answered a request for its report.
--- a/src/entry/internal/fleet_state_primaries.cpp
+++ b/src/entry/internal/fleet_state_primaries.cpp
@@ -30,6 +30,11 @@
     return due;
 }
 
+fleet::duty_lease& fleet_state::promotion_lease_of(const service_name& service) {
+    return m_promotion_leases.try_emplace(service, m_own.id, fleet::promotion_lease_period)
+        .first->second;
+}
+
 fleet::primary_monitor& fleet_state::primary_monitor_of(const service_name& service) {
     auto& monitor = m_primary_monitors[service];
     if (monitor == nullptr) {
--- a/src/entry/internal/fleet_state_reports.cpp
+++ b/src/entry/internal/fleet_state_reports.cpp
@@ -64,7 +64,7 @@
     for (const auto& [service, seen] : report.services) {
         m_evidence.merge_report(report.from, service, seen, now);
         if (seen.order_fence != 0) {
-            m_promotion_leases.seen(service, seen.order_fence, now - seen.order_age);
+            promotion_lease_of(service).seen(seen.order_fence, now - seen.order_age);
         }
         if (seen.position) {
             primary_monitor_of(service).proved(seen.proven_server, *seen.position);
@@ -85,7 +85,7 @@
     report.isolated = m_isolated;
     report.services = m_evidence.reports(now);
     for (auto& [service, out] : report.services) {
-        if (const auto order = m_promotion_leases.newest(service)) {
+        if (const auto& order = promotion_lease_of(service).newest()) {
             out.order_fence = order->fence;
             out.order_age = std::max(now - order->at, clock::duration::zero());
         }
--- a/src/fleet/types/promotion_order.h
+++ b/src/fleet/types/promotion_order.h
@@ -1,12 +1,19 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/types/name.h"
+#include "fleet/types/fencing_token.h"
 #include "fleet/types/store_revision.h"
 
 #include <cstdint>
 
 namespace oriole::fleet {
 
+/// How long only the instance that wrote the last promotion order of a service may write the next
+/// one. The requirements grant that instance 3 s. Its call to the platform may follow the write by
+/// up to a second more, while the old primary steps down.
+constexpr clock::duration promotion_lease_period = std::chrono::seconds(4);
+
 /// The last decision to promote a server to primary of a service, as kept in the store.
 struct promotion_order {
     service_name service;
@@ -22,14 +29,4 @@
     friend bool operator==(const promotion_order&, const promotion_order&) = default;
 };
 
-/// Fencing token of an order that the store acknowledged with `written`. It increases with the
-/// revision, also over a restore of the store. In the first era it is the revision's number.
-[[nodiscard]] constexpr std::uint64_t fencing_token(const store_revision& written) {
-    // Leaves room for 400 changes a second over more than 80 years, and for 8,000 eras in a token
-    // that a JSON number represents exactly.
-    constexpr unsigned number_bits = 40;
-    const std::uint64_t restores = written.era > 1 ? written.era - 1 : 0;
-    return (restores << number_bits) + written.number;
-}
-
 } // namespace oriole::fleet
