Store and send usage orders with the mechanism of promotions

Usage reports are a duty of one instance at a time, like promotions, and had no orders in the store, no client and no settings.

The settings are read, but nothing is reported yet.

--- a/src/entry/entry_instance.h
+++ b/src/entry/entry_instance.h
@@ -6,13 +6,14 @@
 #include "entry/fleet_store.h"
 #include "entry/types/entry_settings.h"
 #include "routing/server_channel.h"
+#include "usage/usage_authority.h"
 
 #include <memory>
 
 namespace oriole::entry {
 
 /// Factory for the platform's services that an entry instance uses: network connections, the object
-/// store and the promotion service.
+/// store, the promotion service and the service that accepts usage reports.
 class entry_platform {
 public:
     virtual ~entry_platform() = default;
@@ -30,6 +31,10 @@
     /// The result may be used only on the executor's thread.
     [[nodiscard]] virtual std::unique_ptr<promotion_authority>
     make_authority(boost::asio::any_io_executor executor) = 0;
+
+    /// The result may be used only on the executor's thread.
+    [[nodiscard]] virtual std::unique_ptr<usage::usage_authority>
+    make_usage_authority(boost::asio::any_io_executor executor) = 0;
 };
 
 /// One instance of the proxy, which serves client sessions.
--- a/src/entry/fleet_store.h
+++ b/src/entry/fleet_store.h
@@ -7,6 +7,7 @@
 #include "fleet/types/registered_instance.h"
 #include "fleet/types/registered_server.h"
 #include "fleet/types/store_revision.h"
+#include "usage/usage_order_store.h"
 
 #include <utility>
 
@@ -109,6 +110,9 @@
     /// The last promotion order of each service.
     [[nodiscard]] virtual object_collection<fleet::promotion_order>& promotions() = 0;
 
+    /// The last order of the usage reports.
+    [[nodiscard]] virtual usage::usage_order_store& usage_orders() = 0;
+
     /// Makes the calls of changes_since() that are waiting fail with store_call_canceled.
     virtual void cancel_waits() = 0;
 
--- a/src/entry/tests/traffic_thread_test.cpp
+++ b/src/entry/tests/traffic_thread_test.cpp
@@ -66,6 +66,11 @@
         return nullptr;
     }
 
+    [[nodiscard]] std::unique_ptr<usage::usage_authority>
+    make_usage_authority(boost::asio::any_io_executor) override {
+        return nullptr;
+    }
+
     fake_servers servers;
     std::shared_ptr<fake_caller> caller = std::make_shared<fake_caller>();
 };
--- a/src/entry/types/entry_settings.h
+++ b/src/entry/types/entry_settings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/types/endpoint.h"
 #include "base/types/name.h"
+#include "usage/types/usage_settings.h"
 
 #include <optional>
 #include <vector>
@@ -25,6 +26,8 @@
     int capacity = 100; ///< the instance's share of a processor core, in hundredths
     /// Time from SIGTERM until the sessions that are still open are closed by force.
     clock::duration stop_grace = std::chrono::seconds(6);
+    /// nullopt when the deployment requires no usage reports.
+    std::optional<usage::usage_settings> usage;
 
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
