--- a/standins/users_platform/__init__.py
+++ b/standins/users_platform/__init__.py
@@ -1,5 +1,5 @@
-"""Simulation of the users' platform for the process tests: backend servers, object store and
-promotion.
+"""Simulation of the users' platform for the process tests: backend servers, object store,
+promotion and usage reports.
 
 It runs in one thread with its own event loop. Tests change its state with `Platform.call`, which
 runs a function in that thread.
--- a/standins/users_platform/platform.py
+++ b/standins/users_platform/platform.py
@@ -1,5 +1,5 @@
 """The simulated platform: a database service of three backend servers, the object store and the
-promotion API."""
+APIs for promotions and usage reports."""
 
 import asyncio
 import threading
@@ -8,6 +8,7 @@
 from .http import ReplyRepeats, serve_http
 from .links import LinkGroups, pass_on_to
 from .store import Store
+from .usage import UsageApi
 
 # The longest message of the wire, with its terminator.
 MAX_MESSAGE_BYTES = 1 << 20
@@ -28,6 +29,7 @@
         self.statement_timeout_ms = 1000
         self.latency_target_ms = 800
         self.refuses_promotions = False
+        self.lost_promotions = 0  # the next promotions that are neither carried out nor answered
         self.promotion_replies = ReplyRepeats()
         self.zones = zones
         self.loop = asyncio.new_event_loop()
@@ -66,13 +68,14 @@
 
     async def start(self):
         self.store = Store()
+        self.usage = UsageApi(self.fenced)
         self.database = Database(SERVICE, fenced=self.fenced,
                                  sync_replicas=self.sync_replicas)
         self.links = LinkGroups()
         self.store_port = await self.listen(
             "store", lambda reader, writer: serve_http(reader, writer, self.store.handle, self.store))
         self.promotion_port = await self.listen(
-            "promotions", lambda reader, writer: serve_http(reader, writer, self.promote,
+            "promotions", lambda reader, writer: serve_http(reader, writer, self.carry_out_duty,
                                                             self.promotion_replies))
         for number, zone in enumerate(self.zones):
             server = Backend(self.database, f"i-{number}", zone)
@@ -88,7 +91,7 @@
         return listener.sockets[0].getsockname()[1]
 
     def ports_for_instance(self):
-        """The ports of the store and of the promotion API that one instance uses."""
+        """The ports of the store and of the APIs for promotions and usage reports that one instance uses."""
         return self.store_port, self.promotion_port
 
     async def relay(self, port):
@@ -138,9 +141,16 @@
                           "sync_replicas": self.sync_replicas}],
             "limits": {"tx_idle_ms": 1000}})
 
+    async def carry_out_duty(self, method, path, query, headers, body):
+        handle = self.usage.handle if path == "/usage" else self.promote
+        return await handle(method, path, query, headers, body)
+
     async def promote(self, _method, path, _query, headers, body):
         """Handles a promotion request: makes the server leader after a delay, unless the request
         carries a lower fencing token than an earlier one."""
+        if self.lost_promotions > 0:
+            self.lost_promotions -= 1
+            return None
         fence = int(headers["fencing-token"])
         outdated = self.fenced and self.fences and fence < self.fences[-1]
         if path != "/promote" or outdated or self.refuses_promotions:
--- a/tests/process/users_platform_test.py
+++ b/tests/process/users_platform_test.py
@@ -132,6 +132,20 @@
         self.assertEqual(len(self.server("i-0").ran), before)
 
 
+class SingleInstanceTest(PlatformTest):
+    instance_zones = ("zone-a",)
+
+    # Guards against a database left without a primary, because the instance's second order for the
+    # same server does not change the object in the store and is taken for another instance's.
+    def test_promotion_that_the_platform_lost_is_ordered_again(self):
+        session = self.session("newest")
+        self.run_until_done(session, "WRITE a one")
+        self.platform.lost_promotions = 1
+        self.platform.call(self.server("i-0").crash)
+        self.run_until_done(session, "WRITE a two")
+        self.assertEqual(len(self.platform.orders), 1)
+
+
 class ConfigurationTest(PlatformTest):
     # Guards against a withdrawn key that is still accepted on a session opened before the
     # withdrawal.
