Schedule statements at a server by priority within its execution slots

Every statement was equal: connections were granted first come first served, what exceeded a server's slots was queued or refused there regardless of urgency, and each refusal came back after 40 ms.

The new module scheduling decides, per server and without messages, how many statements run there (additive increase, multiplicative decrease, from the slots), who waits in which order, and whether a refused statement is repeated. The order is that of contracts/admission_queue, which gets priorities with a minimum part for those passed over; with equal priorities it decides as before, except that an account's requests are ordered by deadline. server_pool uses it where routes differ in priority and slots are known; elsewhere it grants as before.

Tests play loads without a network. Faults planted and seen to fail: order reversed, no credit for passed-over work, and a queue without regard to accounts (urgent_statements_are_served_in_time_under_overload, busy_account_delays_only_itself), no reserve (long_statements_leave_a_slot_to_urgent_ones), refusals ignored by the bound (refusals_by_the_server_lower_the_bound_to_one_at_least).

--- a/src/contracts/admission_queue.h
+++ b/src/contracts/admission_queue.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -18,6 +19,7 @@
     double account_weight = 1.0; ///< relative claim to the server's capacity under overload
     double cost = 1.0;           ///< work that the request causes, relative to others
     clock::time_point deadline;
+    int priority = 0; ///< 0 is the most urgent
 
     friend bool operator==(const admission_request&, const admission_request&) = default;
 };
@@ -25,26 +27,33 @@
 /// Identifies a queued request; unique within one queue.
 using admission_ticket = std::uint64_t;
 
-/// Requests that wait for one backend server: first in, first out per client account, and deficit
-/// round robin between accounts, so that an account that exceeds its portion of the capacity delays
-/// only its own requests. Not thread-safe.
+/// Requests that wait for one backend server, by priority. Within a priority by deadline per client
+/// account, and deficit round robin between accounts, so that an account that exceeds its portion
+/// of the capacity delays only its own requests. Requests of lower priority get at least a tenth of
+/// the capacity while they wait. Not thread-safe.
 class admission_queue {
 public:
     virtual ~admission_queue() = default;
 
     /// Adds a request. Returns no ticket when the request is refused: at the current service rate
-    /// it cannot be served before its deadline, or the queue is full and no other account has more
-    /// queued work for its weight.
+    /// it cannot be served before its deadline, or the queue is full with requests of at least its
+    /// priority and no other account has more queued work for its weight.
     [[nodiscard]] virtual std::optional<admission_ticket> enqueue(const admission_request& request,
                                                                   clock::time_point now) = 0;
 
     /// Removes and returns the request to serve next. Requests whose deadline has passed are not
     /// returned, nor, while others wait, those with less time left than a request takes to be
-    /// served.
-    [[nodiscard]] virtual std::optional<admission_ticket> take(clock::time_point now) = 0;
+    /// served, nor those that are less urgent than `least_urgent`.
+    [[nodiscard]] virtual std::optional<admission_ticket> take(clock::time_point now,
+                                                               int least_urgent) = 0;
+
+    /// Removes and returns the request to serve next, whatever its priority.
+    [[nodiscard]] std::optional<admission_ticket> take(clock::time_point now) {
+        return take(now, std::numeric_limits<int>::max());
+    }
 
     /// Requests dropped since the last call because they could not meet their deadline, or to make
-    /// room for a request of an account with less queued work.
+    /// room for a more urgent request or one of an account with less queued work.
     [[nodiscard]] virtual std::vector<admission_ticket> take_dropped(clock::time_point now) = 0;
 
     /// Reports how long the backend server took to answer a request.
--- a/src/contracts/internal/fair_admission_queue.cpp
+++ b/src/contracts/internal/fair_admission_queue.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <deque>
 #include <list>
+#include <map>
 #include <unordered_map>
 #include <utility>
 
@@ -19,6 +20,10 @@
 constexpr double max_weight = 1000.0;
 constexpr double min_cost = 0.001;
 
+/// Part of the work served in its place that a passed-over priority earns as a claim to its next
+/// turn, so that it is not starved.
+constexpr double passed_over_credit = 0.1;
+
 double smooth(double average, double sample) {
     return average == 0 ? sample : average + smoothing_factor * (sample - average);
 }
@@ -27,87 +32,85 @@
     return clock::duration(static_cast<clock::duration::rep>(count));
 }
 
-class fair_admission_queue final : public admission_queue {
-public:
-    explicit fair_admission_queue(std::size_t max_length) : m_max_length(max_length) {}
+struct queue_entry {
+    admission_ticket ticket = 0;
+    double cost = 0;
+    clock::time_point deadline;
+};
 
-    [[nodiscard]] std::optional<admission_ticket> enqueue(const admission_request& request,
-                                                          clock::time_point now) override {
-        drop_late_fronts(now);
-        if (now + predicted_wait(request) >= request.deadline) {
-            return std::nullopt;
-        }
-        if (m_size >= m_max_length && !displace_for_account(request.account)) {
-            return std::nullopt;
-        }
+struct account_queue {
+    account_name account;
+    double weight = 1;
+    double deficit = 0;
+    double cost = 0;
+    std::deque<queue_entry> entries; ///< by deadline
+};
+
+/// The waiting requests of one priority.
+class priority_band {
+public:
+    void add(const admission_request& request, const queue_entry& entry) {
         account_queue& queue = find_or_add_queue(request);
-        const admission_ticket ticket = m_next_ticket++;
-        const double cost = std::max(request.cost, min_cost);
-        queue.entries.push_back({ticket, cost, request.deadline});
-        queue.cost += cost;
-        m_total_cost += cost;
+        const auto later =
+            std::upper_bound(queue.entries.begin(), queue.entries.end(), entry.deadline,
+                             [](clock::time_point deadline, const queue_entry& other) {
+                                 return deadline < other.deadline;
+                             });
+        queue.entries.insert(later, entry);
+        queue.cost += entry.cost;
+        m_cost += entry.cost;
         ++m_size;
-        return ticket;
     }
 
-    [[nodiscard]] std::optional<admission_ticket> take(clock::time_point now) override {
-        while (!m_active.empty()) {
+    /// Removes and returns the request whose turn it is. Precondition: not empty, and no account's
+    /// queue is empty.
+    [[nodiscard]] queue_entry take() {
+        while (true) {
             account_queue& queue = m_active.front();
-            drop_late(queue, now);
-            if (queue.entries.empty()) {
-                remove_front();
-                continue;
-            }
             if (!std::exchange(m_turn_started, true)) {
                 queue.deficit += queue.weight;
             }
-            if (queue.deficit < queue.entries.front().cost) {
-                m_active.splice(m_active.end(), m_active, m_active.begin());
-                m_turn_started = false;
-                continue;
+            if (queue.deficit >= queue.entries.front().cost) {
+                return take_front(queue);
             }
-            return dequeue_front(queue, now);
+            m_active.splice(m_active.end(), m_active, m_active.begin());
+            m_turn_started = false;
         }
-        m_last_take.reset();
-        return std::nullopt;
     }
 
-    [[nodiscard]] std::vector<admission_ticket> take_dropped(clock::time_point now) override {
-        for (account_queue& queue : m_active) {
-            drop_expired(queue, now);
+    /// Removes the newest request of the account with the most queued cost for its weight. Returns
+    /// none if that account is `spared`.
+    [[nodiscard]] std::optional<queue_entry> displace(const account_name& spared) {
+        const auto longest = std::max_element(m_active.begin(), m_active.end(),
+                                              [](const account_queue& a, const account_queue& b) {
+                                                  return a.cost / a.weight < b.cost / b.weight;
+                                              });
+        if (longest == m_active.end() || longest->account == spared) {
+            return std::nullopt;
         }
-        return std::exchange(m_dropped, {});
+        const queue_entry displaced = longest->entries.back();
+        longest->entries.pop_back();
+        subtract(*longest, displaced);
+        remove_empty_queues();
+        return displaced;
     }
 
-    void served(clock::duration duration) override {
-        m_service_time = smooth(m_service_time, static_cast<double>(duration.count()));
+    /// Removes the requests whose deadline is at or before `time` and appends their tickets to
+    /// `dropped`.
+    void drop_due(clock::time_point time, std::vector<admission_ticket>& dropped) {
+        for (account_queue& queue : m_active) {
+            while (!queue.entries.empty() && queue.entries.front().deadline <= time) {
+                dropped.push_back(queue.entries.front().ticket);
+                subtract(queue, queue.entries.front());
+                queue.entries.pop_front();
+            }
+        }
+        remove_empty_queues();
     }
 
-    [[nodiscard]] std::size_t size() const noexcept override { return m_size; }
-
-private:
-    struct entry {
-        admission_ticket ticket = 0;
-        double cost = 0;
-        clock::time_point deadline;
-    };
-
-    struct account_queue {
-        account_name account;
-        double weight = 1;
-        double deficit = 0;
-        double cost = 0;
-        std::deque<entry> entries;
-    };
-
-    // Estimates the waiting time from the work queued before the request: at most the whole queue,
-    // or the account's own queue at its portion of the service rate if that is quicker. When
-    // nothing is queued the wait is zero, so that the request is tried and a wrong estimate gets
-    // corrected by new measurements.
-    [[nodiscard]] clock::duration predicted_wait(const admission_request& request) const {
-        if (m_size == 0) {
-            return clock::duration(0);
-        }
+    /// The work that is served before a new request of the account: at most the whole band, or the
+    /// account's own queue at its portion of the service rate if that is less.
+    [[nodiscard]] double cost_before(const admission_request& request) const {
         double weights = 0;
         double own_cost = 0;
         const double own_weight = std::clamp(request.account_weight, min_weight, max_weight);
@@ -116,10 +119,25 @@
             own_cost = own ? queue.cost : own_cost;
             weights += own ? 0 : queue.weight;
         }
-        const double own_time = own_cost * (weights + own_weight) / own_weight;
-        return nanoseconds(std::min(m_total_cost, own_time) * m_time_per_cost + m_service_time);
+        return std::min(m_cost, own_cost * (weights + own_weight) / own_weight);
+    }
+
+    void add_credit(double cost) { m_credit += passed_over_credit * cost; }
+
+    /// Returns whether the band has been passed over for long enough to be next.
+    [[nodiscard]] bool credit_covers_next() const {
+        return m_credit >= m_active.front().entries.front().cost;
     }
 
+    void spend_credit(double cost) { m_credit = std::max(m_credit - cost, 0.0); }
+
+    [[nodiscard]] bool empty() const noexcept { return m_size == 0; }
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_size; }
+
+    [[nodiscard]] double cost() const noexcept { return m_cost; }
+
+private:
     account_queue& find_or_add_queue(const admission_request& request) {
         const auto found = m_accounts.find(request.account);
         if (found != m_accounts.end()) {
@@ -131,66 +149,169 @@
         return m_active.back();
     }
 
-    // Drops the newest request of the account with the most queued cost for its weight. Returns
-    // false if the arriving request belongs to that account.
-    [[nodiscard]] bool displace_for_account(const account_name& arriving) {
-        const auto longest = std::max_element(m_active.begin(), m_active.end(),
-                                              [](const account_queue& a, const account_queue& b) {
-                                                  return a.cost / a.weight < b.cost / b.weight;
-                                              });
-        if (longest == m_active.end() || longest->account == arriving) {
-            return false;
+    [[nodiscard]] queue_entry take_front(account_queue& queue) {
+        const queue_entry next = queue.entries.front();
+        queue.entries.pop_front();
+        queue.deficit -= next.cost;
+        subtract(queue, next);
+        if (queue.entries.empty()) {
+            remove_empty_queues();
         }
-        const entry displaced = longest->entries.back();
-        longest->entries.pop_back();
-        m_dropped.push_back(displaced.ticket);
-        subtract_entry(*longest, displaced);
-        return true;
+        return next;
     }
 
-    // Serving a request that misses its deadline anyway takes time from other requests. The only
-    // queued request is tried as long as its deadline has not passed.
-    [[nodiscard]] bool cannot_finish_in_time(const entry& waiting, clock::time_point now) const {
-        const auto needed = m_size > 1 ? nanoseconds(m_service_time) : clock::duration(0);
-        return now + needed >= waiting.deadline;
+    void subtract(account_queue& queue, const queue_entry& removed) {
+        queue.cost -= removed.cost;
+        m_cost -= removed.cost;
+        --m_size;
     }
 
-    void drop_late(account_queue& queue, clock::time_point now) {
-        while (!queue.entries.empty() && cannot_finish_in_time(queue.entries.front(), now)) {
-            const entry late = queue.entries.front();
-            queue.entries.pop_front();
-            m_dropped.push_back(late.ticket);
-            subtract_entry(queue, late);
+    // Removes accounts without requests, with their deficit, so that an idle account cannot
+    // accumulate credit.
+    void remove_empty_queues() {
+        for (auto at = m_active.begin(); at != m_active.end();) {
+            if (!at->entries.empty()) {
+                ++at;
+                continue;
+            }
+            m_turn_started = m_turn_started && at != m_active.begin();
+            m_accounts.erase(at->account);
+            at = m_active.erase(at);
         }
     }
 
-    void drop_late_fronts(clock::time_point now) {
-        for (account_queue& queue : m_active) {
-            drop_late(queue, now);
+    std::list<account_queue> m_active; ///< in round-robin order; the first has its turn
+    std::unordered_map<account_name, std::list<account_queue>::iterator> m_accounts;
+    bool m_turn_started = false;
+    std::size_t m_size = 0;
+    double m_cost = 0;
+    double m_credit = 0;
+};
+
+class fair_admission_queue final : public admission_queue {
+public:
+    using admission_queue::take;
+
+    explicit fair_admission_queue(std::size_t max_length) : m_max_length(max_length) {}
+
+    [[nodiscard]] std::optional<admission_ticket> enqueue(const admission_request& request,
+                                                          clock::time_point now) override {
+        drop_late(now);
+        if (now + predicted_wait(request) >= request.deadline) {
+            return std::nullopt;
+        }
+        if (size() >= m_max_length && !displace_for(request)) {
+            return std::nullopt;
         }
+        const admission_ticket ticket = m_next_ticket++;
+        m_bands[request.priority].add(request,
+                                      {ticket, std::max(request.cost, min_cost), request.deadline});
+        return ticket;
     }
 
-    void drop_expired(account_queue& queue, clock::time_point now) {
-        std::erase_if(queue.entries, [&](const entry& waiting) {
-            if (waiting.deadline > now) {
-                return false;
-            }
-            m_dropped.push_back(waiting.ticket);
-            subtract_entry(queue, waiting);
-            return true;
+    [[nodiscard]] std::optional<admission_ticket> take(clock::time_point now,
+                                                       int least_urgent) override {
+        drop_late(now);
+        const auto next = next_band(least_urgent);
+        if (next == m_bands.end()) {
+            reset_if_empty();
+            return std::nullopt;
+        }
+        const queue_entry taken = next->second.take();
+        for (auto passed = std::next(next); passed != m_bands.end(); ++passed) {
+            passed->second.add_credit(taken.cost);
+        }
+        if (next != m_bands.begin()) {
+            next->second.spend_credit(taken.cost);
+        }
+        if (next->second.empty()) {
+            m_bands.erase(next);
+        }
+        update_time_per_cost(taken.cost, now);
+        return taken.ticket;
+    }
+
+    [[nodiscard]] std::vector<admission_ticket> take_dropped(clock::time_point now) override {
+        drop_due(now);
+        return std::exchange(m_dropped, {});
+    }
+
+    void served(clock::duration duration) override {
+        m_service_time = smooth(m_service_time, static_cast<double>(duration.count()));
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept override {
+        std::size_t size = 0;
+        for (const auto& [priority, band] : m_bands) {
+            size += band.size();
+        }
+        return size;
+    }
+
+private:
+    using band_map = std::map<int, priority_band>;
+
+    // Estimates the waiting time from the work that is served before the request. When nothing is
+    // queued the wait is zero, so that the request is tried and a wrong estimate gets corrected by
+    // new measurements.
+    [[nodiscard]] clock::duration predicted_wait(const admission_request& request) const {
+        if (m_bands.empty()) {
+            return clock::duration(0);
+        }
+        double cost = 0;
+        const auto own = m_bands.lower_bound(request.priority);
+        for (auto band = m_bands.begin(); band != own; ++band) {
+            cost += band->second.cost();
+        }
+        if (own != m_bands.end() && own->first == request.priority) {
+            cost += own->second.cost_before(request);
+        }
+        return nanoseconds(cost * m_time_per_cost + m_service_time);
+    }
+
+    /// Drops a request to make room for the arriving one: one of the lowest priority, if that is
+    /// lower than the arriving one's, or one of an account with more queued work.
+    [[nodiscard]] bool displace_for(const admission_request& arriving) {
+        const auto lowest = std::prev(m_bands.end());
+        if (lowest->first < arriving.priority) {
+            return false;
+        }
+        const bool equal = lowest->first == arriving.priority;
+        const auto displaced = lowest->second.displace(equal ? arriving.account : account_name());
+        if (!displaced) {
+            return false;
+        }
+        m_dropped.push_back(displaced->ticket);
+        if (lowest->second.empty()) {
+            m_bands.erase(lowest);
+        }
+        return true;
+    }
+
+    /// The most urgent band, or a less urgent one that has been passed over for long enough.
+    [[nodiscard]] band_map::iterator next_band(int least_urgent) {
+        const auto end = m_bands.upper_bound(least_urgent);
+        if (end == m_bands.begin()) {
+            return m_bands.end();
+        }
+        const auto due = std::find_if(std::next(m_bands.begin()), end, [](const auto& band) {
+            return band.second.credit_covers_next();
         });
+        return due == end ? m_bands.begin() : due;
     }
 
-    [[nodiscard]] admission_ticket dequeue_front(account_queue& queue, clock::time_point now) {
-        const entry next = queue.entries.front();
-        queue.entries.pop_front();
-        queue.deficit -= next.cost;
-        subtract_entry(queue, next);
-        if (queue.entries.empty()) {
-            remove_front();
+    // Serving a request that misses its deadline anyway takes time from other requests. The only
+    // queued request is tried as long as its deadline has not passed.
+    void drop_late(clock::time_point now) {
+        const auto needed = size() > 1 ? nanoseconds(m_service_time) : clock::duration(0);
+        drop_due(now + needed);
+    }
+
+    void drop_due(clock::time_point time) {
+        for (auto& [priority, band] : m_bands) {
+            band.drop_due(time, m_dropped);
         }
-        update_time_per_cost(next.cost, now);
-        return next.ticket;
+        std::erase_if(m_bands, [](const auto& band) { return band.second.empty(); });
     }
 
     void update_time_per_cost(double cost, clock::time_point now) {
@@ -199,32 +320,19 @@
             m_time_per_cost = smooth(m_time_per_cost, interval / cost);
         }
         m_last_take = now;
-        if (m_size == 0) {
-            m_last_take.reset();
-        }
-    }
-
-    void subtract_entry(account_queue& queue, const entry& removed) {
-        queue.cost -= removed.cost;
-        m_total_cost -= removed.cost;
-        --m_size;
+        reset_if_empty();
     }
 
-    // Removes the account that has its turn, with its deficit, so that an idle account cannot
-    // accumulate credit.
-    void remove_front() {
-        m_accounts.erase(m_active.front().account);
-        m_active.pop_front();
-        m_turn_started = false;
+    // The time until the next request arrives says nothing about the service rate.
+    void reset_if_empty() {
+        if (m_bands.empty()) {
+            m_last_take.reset();
+        }
     }
 
     std::size_t m_max_length;
-    std::list<account_queue> m_active; ///< in round-robin order; the first has its turn
-    std::unordered_map<account_name, std::list<account_queue>::iterator> m_accounts;
+    band_map m_bands; ///< by priority; none is empty
     std::vector<admission_ticket> m_dropped;
-    bool m_turn_started = false;
-    std::size_t m_size = 0;
-    double m_total_cost = 0;
     double m_time_per_cost = 0; ///< average ns between dequeued requests, per unit of cost
     double m_service_time = 0;  ///< average ns from dequeuing a request to its answer
     std::optional<clock::time_point> m_last_take;
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -5,6 +5,9 @@
 #include "contracts/contracts_module.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string>
 
 namespace oriole::entry {
 namespace {
@@ -21,6 +24,22 @@
 
 const std::vector<fleet::registered_instance> no_instances;
 
+/// The services whose routes differ in priority.
+std::set<service_name> prioritized_services(const fleet::fleet_view& view) {
+    std::set<service_name> prioritized;
+    if (view.config == nullptr) {
+        return prioritized;
+    }
+    std::map<service_name, int> priorities;
+    for (const auto& [database, route] : view.config->routes) {
+        const auto known = priorities.emplace(route.service, route.priority).first;
+        if (known->second != route.priority) {
+            prioritized.insert(route.service);
+        }
+    }
+    return prioritized;
+}
+
 } // namespace
 
 using sessions::answer_code;
@@ -44,8 +63,11 @@
 
 void traffic_context::apply(std::shared_ptr<const fleet::fleet_view> view) {
     m_view = std::move(view);
+    const auto prioritized = prioritized_services(*m_view);
     for (const auto& [name, servers] : m_view->servers) {
-        service(name).traffic.apply(servers);
+        auto& traffic = service(name).traffic;
+        traffic.set_prioritized(prioritized.contains(name));
+        traffic.apply(servers);
     }
     for (auto& [name, known] : m_services) {
         if (!m_view->servers.contains(name)) {
@@ -212,12 +234,39 @@
         known->traffic.adjust_limits(now);
         report.services[name] = known->traffic.report(now);
     }
+    record_schedules();
     for (auto& [account, prefetched] : m_prefetched) {
         prefetched.previous_interval = std::exchange(prefetched.current_interval, 0);
     }
     return report;
 }
 
+void traffic_context::record_schedules() {
+    scheduling::schedule_counts counts;
+    std::size_t waiting = 0;
+    for (const auto& [name, known] : m_services) {
+        waiting += known->traffic.waiting();
+        for (const auto& [priority, added] : known->traffic.take_schedule_counts()) {
+            counts[priority] += added;
+        }
+    }
+    m_metrics.get("oriole_waiting_statements").set(static_cast<std::int64_t>(waiting));
+    for (const auto& [priority, added] : counts) {
+        const auto labels = "priority=\"" + std::to_string(priority) + "\"";
+        const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(added.waited);
+        m_metrics.get("oriole_scheduled_statements_total{" + labels + "}").add(added.started);
+        m_metrics.get("oriole_schedule_wait_us_total{" + labels + "}").add(waited.count());
+        const auto add_refused = [&](const char* reason, std::int64_t refused) {
+            std::string name("oriole_schedule_refused_total{");
+            name.append(labels).append(",reason=\"").append(reason).append("\"}");
+            m_metrics.get(name).add(refused);
+        };
+        add_refused("no_time", added.refused_ahead);
+        add_refused("waited", added.refused_waited);
+        add_refused("server", added.refused_by_server);
+    }
+}
+
 void traffic_context::apply_rates() {
     const auto now = steady_clock().now();
     const contracts::share whole(
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -115,6 +115,8 @@
     [[nodiscard]] service_entry& service(const service_name& name);
     void apply_roles();
     void apply_rates();
+    /// Adds what the schedules of the services' servers have counted to the metrics.
+    void record_schedules();
 
     boost::asio::any_io_executor m_executor;
     routing::checked_connector m_connector;
--- a/src/routing/internal/server_exchange.cpp
+++ b/src/routing/internal/server_exchange.cpp
@@ -166,12 +166,25 @@
     int m_answers_due = 0;
 };
 
+scheduling::statement_end end_of(const exchange_result& result) {
+    if (result.answer.code == answer_code::busy) {
+        return scheduling::statement_end::refused;
+    }
+    return result.status == exchange_status::answered ? scheduling::statement_end::answered
+                                                      : scheduling::statement_end::unknown;
+}
+
 } // namespace
 
 asio::awaitable<exchange_result> exchange(server_pool& pool, pooled_connection& connection,
                                           exchange_plan plan, clock::duration limit) {
     exchange_run run(pool, connection, limit);
-    co_return co_await run.run(std::move(plan));
+    auto result = co_await run.run(std::move(plan));
+    if (result.status != exchange_status::timed_out) {
+        // A server that did not answer in time may still be executing the statement.
+        pool.end_statement(connection, end_of(result));
+    }
+    co_return result;
 }
 
 } // namespace oriole::routing
--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -48,6 +48,21 @@
     bool refused = false;
 };
 
+/// A request that waits for an execution slot.
+struct server_pool::slot_waiter {
+    slot_waiter(const asio::any_io_executor& executor, account_name for_account,
+                sessions::session_values wanted)
+        : account(std::move(for_account)), values(std::move(wanted)), timer(executor) {}
+
+    account_name account;
+    sessions::session_values values;
+    asio::steady_timer timer;
+    std::unique_ptr<pooled_connection> connection;
+    bool may_open = false;
+    bool decided = false; ///< given a slot, or refused
+    bool refused = false;
+};
+
 server_pool::server_pool(asio::any_io_executor executor, server_connector& connector,
                          fleet::registered_server server)
     : m_executor(std::move(executor)), m_connector(connector), m_server(std::move(server)) {}
@@ -62,21 +77,41 @@
     serve_waiters();
 }
 
+void server_pool::set_scheduled(bool scheduled) {
+    const bool was_scheduled = std::exchange(m_scheduled, scheduled && m_server.slots > 0);
+    if (m_scheduled && m_schedule == nullptr) {
+        m_schedule = scheduling::make_priority_server_schedule(m_server.slots);
+    } else if (m_scheduled) {
+        m_schedule->set_slots(m_server.slots);
+    } else if (was_scheduled) {
+        refuse_slot_waiters(m_schedule->clear(steady_clock().now()));
+    }
+}
+
 asio::awaitable<pool_grant> server_pool::acquire(account_name account,
                                                  const sessions::session_values& values,
-                                                 clock::time_point deadline) {
+                                                 clock::time_point deadline, int priority) {
     const auto self = shared_from_this();
     const auto now = steady_clock().now();
     if (m_failing_since && now >= m_retry_at) {
         // Only this statement probes the failed server; others wait for the next interval.
         m_retry_at = now + retry_interval;
     }
+    if (m_scheduled) {
+        co_return co_await acquire_scheduled(std::move(account), values, deadline, priority);
+    }
+    co_return co_await connect(std::move(account), values, deadline);
+}
+
+asio::awaitable<pool_grant> server_pool::connect(account_name account,
+                                                 const sessions::session_values& values,
+                                                 clock::time_point deadline) {
     if (auto connection = take_idle(account, values)) {
         pool_grant grant;
         grant.connection = std::move(connection);
         co_return grant;
     }
-    if (m_no_new_connections_until > now) {
+    if (m_no_new_connections_until > steady_clock().now()) {
         pool_grant grant;
         grant.refusal = answer_code::connection_limit;
         co_return grant;
@@ -90,7 +125,119 @@
     co_return co_await wait(std::move(account), deadline);
 }
 
+asio::awaitable<pool_grant> server_pool::acquire_scheduled(account_name account,
+                                                           sessions::session_values values,
+                                                           clock::time_point deadline,
+                                                           int priority) {
+    const auto now = steady_clock().now();
+    pool_grant grant;
+    if (has_room() && m_schedule->may_start(priority, now)) {
+        m_schedule->start(priority, now);
+        grant = co_await connect(std::move(account), values, deadline);
+    } else {
+        const auto ticket = m_schedule->enqueue({account, priority, deadline}, now);
+        refuse_slot_waiters(m_schedule->take_refused(now));
+        if (!ticket) {
+            grant.refusal = answer_code::busy;
+            grant.overloaded = true;
+            co_return grant;
+        }
+        const auto own = std::make_shared<slot_waiter>(m_executor, account, std::move(values));
+        m_slot_waiters.emplace(*ticket, own);
+        start_waiting();
+        while (!own->decided) {
+            own->timer.expires_at(deadline);
+            boost::system::error_code ignored;
+            co_await own->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            refuse_slot_waiters(m_schedule->take_refused(steady_clock().now()));
+        }
+        if (own->refused) {
+            grant.refusal = answer_code::busy;
+            grant.overloaded = true;
+            co_return grant;
+        }
+        if (own->connection) {
+            grant.connection = std::move(own->connection);
+        } else if (own->may_open) {
+            grant = co_await open(std::move(account));
+        } else {
+            grant = co_await connect(std::move(account), own->values, deadline);
+        }
+    }
+    if (grant.connection) {
+        occupy_slot(*grant.connection, priority);
+    } else {
+        const auto end = grant.refusal == answer_code::busy ? scheduling::statement_end::refused
+                                                            : scheduling::statement_end::unknown;
+        m_schedule->finish(priority, end, clock::duration::zero(), steady_clock().now());
+        start_waiting();
+    }
+    co_return grant;
+}
+
+void server_pool::begin_statement(pooled_connection& connection, int priority) {
+    if (m_scheduled && !connection.slot_priority) {
+        m_schedule->start(priority, steady_clock().now());
+        occupy_slot(connection, priority);
+    }
+}
+
+void server_pool::end_statement(pooled_connection& connection, scheduling::statement_end end) {
+    release_slot(connection, end);
+    start_waiting();
+}
+
+void server_pool::occupy_slot(pooled_connection& connection, int priority) {
+    connection.slot_priority = priority;
+    connection.statement_began = steady_clock().now();
+}
+
+void server_pool::release_slot(pooled_connection& connection, scheduling::statement_end end) {
+    if (!connection.slot_priority) {
+        return;
+    }
+    const auto now = steady_clock().now();
+    m_schedule->finish(*connection.slot_priority, end, now - connection.statement_began, now);
+    connection.slot_priority.reset();
+}
+
+scheduling::schedule_counts server_pool::take_schedule_counts() {
+    return m_schedule == nullptr ? scheduling::schedule_counts() : m_schedule->take_counts();
+}
+
+void server_pool::start_waiting() {
+    while (!m_slot_waiters.empty() && has_room()) {
+        const auto now = steady_clock().now();
+        const auto ticket = m_schedule->start_next(now);
+        if (!ticket) {
+            break;
+        }
+        const auto next = m_slot_waiters.extract(*ticket).mapped();
+        next->decided = true;
+        next->connection = take_idle(next->account, next->values);
+        if (!next->connection && !confirmation_is_awaitable(next->account) &&
+            m_no_new_connections_until <= now && make_room()) {
+            ++m_open_connections;
+            next->may_open = true;
+        }
+        next->timer.cancel();
+    }
+    if (!m_slot_waiters.empty()) {
+        refuse_slot_waiters(m_schedule->take_refused(steady_clock().now()));
+    }
+}
+
+void server_pool::refuse_slot_waiters(const std::vector<contracts::admission_ticket>& tickets) {
+    for (const auto ticket : tickets) {
+        const auto refused = m_slot_waiters.extract(ticket).mapped();
+        refused->decided = true;
+        refused->refused = true;
+        refused->timer.cancel();
+    }
+}
+
 void server_pool::release(std::unique_ptr<pooled_connection> connection) {
+    release_slot(*connection, scheduling::statement_end::unknown);
     if (m_open_connections > m_limit || connection->channel->broken()) {
         discard(std::move(connection));
         return;
@@ -111,6 +258,7 @@
     if (same == m_waiters.end()) {
         connection->idle_since = steady_clock().now();
         m_idle.push_front(std::move(connection));
+        start_waiting();
         return;
     }
     // Prefer the first waiter for the same account, even if others wait longer: reusing the
@@ -280,6 +428,9 @@
         waiter->timer.cancel();
     }
     m_waiters.clear();
+    if (m_schedule != nullptr) {
+        refuse_slot_waiters(m_schedule->clear(steady_clock().now()));
+    }
 }
 
 std::unique_ptr<pooled_connection> server_pool::take_idle(const account_name& account,
@@ -387,6 +538,7 @@
         m_unanswered_since.erase(connection.waiting_since);
         connection.waiting = false;
     }
+    release_slot(connection, scheduling::statement_end::unknown);
     connection.channel->close();
     --m_open_connections;
 }
@@ -399,6 +551,7 @@
         next->may_open = true;
         next->timer.cancel();
     }
+    start_waiting();
 }
 
 } // namespace oriole::routing
--- a/src/routing/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -52,6 +52,7 @@
         auto pool =
             same ? known->second : std::make_shared<server_pool>(m_executor, m_connector, listed);
         pool->set_server(listed);
+        pool->set_scheduled(m_prioritized);
         m_connection_quotas[listed.id] = server.connections;
         next[listed.id] = std::move(pool);
         if (server.primary) {
@@ -91,6 +92,31 @@
     }
 }
 
+void service_traffic::set_prioritized(bool prioritized) {
+    m_prioritized = prioritized;
+    for (const auto& [id, pool] : m_pools) {
+        pool->set_scheduled(prioritized);
+    }
+}
+
+scheduling::schedule_counts service_traffic::take_schedule_counts() {
+    scheduling::schedule_counts sum;
+    for (const auto& [id, pool] : m_pools) {
+        for (const auto& [priority, counts] : pool->take_schedule_counts()) {
+            sum[priority] += counts;
+        }
+    }
+    return sum;
+}
+
+std::size_t service_traffic::waiting() const {
+    std::size_t waiting = 0;
+    for (const auto& [id, pool] : m_pools) {
+        waiting += pool->waiting();
+    }
+    return waiting;
+}
+
 void service_traffic::refuse_waiting() {
     for (const auto& [id, pool] : m_pools) {
         pool->refuse_waiting();
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -67,7 +67,7 @@
                 : m_service.proofs().required(boot_clock().now(), route.max_age, m_run.own_commit);
         const auto pool = required ? next_reader(*required) : m_service.primary();
         if (pool == nullptr) {
-            if (!co_await wait_for_primary()) {
+            if (!co_await wait_for_primary(retry_pause)) {
                 co_return last_outcome(answer_code::busy);
             }
             continue;
@@ -92,7 +92,7 @@
         const auto pool = m_service.primary();
         const bool usable = pool != nullptr && !pool->suspected(steady_clock().now());
         if (!usable) {
-            if (!co_await wait_for_primary()) {
+            if (!co_await wait_for_primary(retry_pause)) {
                 co_return last_outcome(answer_code::busy);
             }
             if (pool != nullptr && pool == m_service.primary() &&
@@ -133,17 +133,33 @@
     return !m_run.handover->withdrawn() && !m_budget.expired(steady_clock().now());
 }
 
-asio::awaitable<bool> statement_router::wait_for_primary() {
+asio::awaitable<bool> statement_router::wait_for_primary(clock::duration limit) {
     const auto now = steady_clock().now();
     if (m_run.handover->withdrawn() || m_budget.expired(now)) {
         co_return false;
     }
-    co_await m_service.wait_for_primary(std::min(m_budget.attempt_deadline(), now + retry_pause));
+    co_await m_service.wait_for_primary(std::min(m_budget.attempt_deadline(), now + limit));
     co_return true;
 }
 
+asio::awaitable<bool> statement_router::pause() {
+    const bool refused_by_server = std::exchange(m_refused_by_server, false);
+    const bool refused_here = std::exchange(m_refused_here, false);
+    if (refused_by_server && m_service.prioritized()) {
+        const auto wait = m_service.retries().pause_before_retry(
+            m_run.account, m_retries++, steady_clock().now(), m_budget.wait_deadline());
+        co_return wait&& co_await wait_for_primary(*wait);
+    }
+    if (refused_here) {
+        co_return false;
+    }
+    co_return co_await wait_for_primary(retry_pause);
+}
+
 asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool) {
-    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline());
+    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline(),
+                                        m_run.route->priority);
+    m_refused_here = m_refused_here || grant.overloaded;
     co_return grant;
 }
 
@@ -324,6 +340,7 @@
                                      const std::optional<machines::log_position>& required,
                                      bool proves) {
     const auto& answer = result.answer;
+    m_refused_by_server = m_refused_by_server || answer.code == answer_code::busy;
     if (answer.code == answer_code::lagging && required) {
         m_service.record_lag(pool, *required, steady_clock().now());
     } else if (answer.code == answer_code::read_only && !required) {
--- a/src/routing/internal/statement_router.h
+++ b/src/routing/internal/statement_router.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <set>
 
@@ -21,7 +22,9 @@
 class statement_router {
 public:
     statement_router(service_traffic& service, statement_run run)
-        : m_service(service), m_run(std::move(run)), m_budget(*m_run.route, m_run.arrived) {}
+        : m_service(service), m_run(std::move(run)), m_budget(*m_run.route, m_run.arrived) {
+        m_service.retries().add_statement(m_run.account);
+    }
 
     /// Runs a read outside a transaction, or begins a read-only transaction if `transaction` is not
     /// null, at any server that has reached the required log position; at the primary when the
@@ -44,9 +47,10 @@
     /// Returns whether the statement may be tried again after an attempt that ended so.
     [[nodiscard]] bool may_try_again(const run_outcome& outcome);
 
-    [[nodiscard]] boost::asio::awaitable<bool> wait_for_primary();
+    [[nodiscard]] boost::asio::awaitable<bool> wait_for_primary(clock::duration limit);
 
-    [[nodiscard]] boost::asio::awaitable<bool> pause() { return wait_for_primary(); }
+    /// Waits before the servers are tried once more. Returns false when that is not worth it.
+    [[nodiscard]] boost::asio::awaitable<bool> pause();
 
     [[nodiscard]] boost::asio::awaitable<pool_grant> acquire(const pool_ptr& pool);
 
@@ -93,6 +97,9 @@
     std::set<server_name> m_tried_servers;
     std::optional<run_outcome> m_last_outcome;
     int m_attempts = 0;
+    bool m_refused_by_server = false; ///< a server had too much work, since the last pause
+    bool m_refused_here = false; ///< the statement could not start in time, since the last pause
+    std::uint32_t m_retries = 0; ///< after refusals by servers
 };
 
 } // namespace oriole::routing
--- a/src/routing/internal/statement_runner.cpp
+++ b/src/routing/internal/statement_runner.cpp
@@ -81,6 +81,7 @@
     if (!run.handover->hand_over()) {
         co_return abandon(transaction, answer_code::aborted, "withdrawn");
     }
+    pool.begin_statement(*transaction.connection, run.route->priority);
     auto result = co_await exchange(pool, *transaction.connection, std::move(plan),
                                     budget.deadline() - steady_clock().now());
     const bool may_be_committed = commits && transaction.wrote;
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -6,6 +6,7 @@
 #include "fleet/types/fleet_view.h"
 #include "fleet/types/primary_evidence.h"
 #include "routing/server_channel.h"
+#include "scheduling/server_schedule.h"
 #include "sessions/server_connection_state.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -14,6 +15,7 @@
 
 #include <deque>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -31,6 +33,10 @@
     std::multiset<clock::time_point>::iterator waiting_since; ///< valid while `waiting` is true
     bool waiting = false;
     clock::time_point idle_since{};
+    /// Priority of the statement that occupies an execution slot of the server; none when none does
+    /// or slots are not counted.
+    std::optional<int> slot_priority;
+    clock::time_point statement_began{}; ///< valid while `slot_priority` is set
 };
 
 /// A connection from the pool, or the reason why there is none.
@@ -38,12 +44,15 @@
     std::unique_ptr<pooled_connection> connection;
     sessions::answer_code refusal = sessions::answer_code::ok;
     bool opened = false; ///< the connection was opened for this request
+    /// Refused by this instance: the statement could not start in time at the server.
+    bool overloaded = false;
 };
 
 /// This instance's connections to one server, limited to the instance's share of the server's
 /// connection limit. Each connection belongs to one account; at the limit, the least recently used
-/// idle connection is closed to open one for another account. Not thread-safe; used on the traffic
-/// thread.
+/// idle connection is closed to open one for another account. Requests are granted in the order of
+/// their arrival, or by a schedule of the server's execution slots. Not thread-safe; used on the
+/// traffic thread.
 class server_pool : public std::enable_shared_from_this<server_pool> {
 public:
     server_pool(boost::asio::any_io_executor executor, server_connector& connector,
@@ -60,11 +69,27 @@
 
     void set_server(const fleet::registered_server& server) { m_server = server; }
 
+    /// Sets whether requests are granted by priority. Has no effect while the number of the
+    /// server's slots is not known. When this ends, the waiting requests are refused.
+    void set_scheduled(bool scheduled);
+
     /// Returns a connection for the account, preferably one on which `values` are already set.
-    /// Waits until `deadline` at most.
+    /// Waits until `deadline` at most. When requests are scheduled, the connection comes with an
+    /// execution slot, which is occupied until end_statement().
     [[nodiscard]] boost::asio::awaitable<pool_grant> acquire(account_name account,
                                                              const sessions::session_values& values,
-                                                             clock::time_point deadline);
+                                                             clock::time_point deadline,
+                                                             int priority = 0);
+
+    /// Records that a further statement of a transaction is sent on the connection, which does not
+    /// wait for a slot.
+    void begin_statement(pooled_connection& connection, int priority);
+
+    /// Records that the statement on the connection has left the server's execution slot.
+    void end_statement(pooled_connection& connection, scheduling::statement_end end);
+
+    /// Returns the schedule's counts since the last call.
+    [[nodiscard]] scheduling::schedule_counts take_schedule_counts();
 
     /// Returns a connection to the pool, which closes it if no other statement may use it. A
     /// connection with an error is confirmed in the background first. Precondition: no open
@@ -102,7 +127,10 @@
     /// Returns whether a connection for the account is available without waiting.
     [[nodiscard]] bool available(const account_name& account) const;
 
-    [[nodiscard]] std::size_t waiting() const noexcept { return m_waiters.size(); }
+    /// Requests that wait for a connection or a slot.
+    [[nodiscard]] std::size_t waiting() const noexcept {
+        return m_waiters.size() + m_slot_waiters.size();
+    }
 
     /// Closes connections that have been idle for longer than unused_connection_lifetime, so that
     /// they do not use up the server's connection limit, which all instances share.
@@ -116,6 +144,7 @@
 
 private:
     struct pool_waiter;
+    struct slot_waiter;
 
     [[nodiscard]] std::unique_ptr<pooled_connection>
     take_idle(const account_name& account, const sessions::session_values& values);
@@ -125,6 +154,22 @@
     [[nodiscard]] boost::asio::awaitable<pool_grant> open(account_name account);
     [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
                                                           clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<pool_grant>
+    acquire_scheduled(account_name account, sessions::session_values values,
+                      clock::time_point deadline, int priority);
+    /// Returns a connection for a request that was given a slot.
+    [[nodiscard]] boost::asio::awaitable<pool_grant> connect(account_name account,
+                                                             const sessions::session_values& values,
+                                                             clock::time_point deadline);
+
+    /// Whether a request would get a connection without waiting for another one's.
+    [[nodiscard]] bool has_room() const { return m_open_connections < m_limit || !m_idle.empty(); }
+
+    void occupy_slot(pooled_connection& connection, int priority);
+    void release_slot(pooled_connection& connection, scheduling::statement_end end);
+    /// Gives slots and connections to waiting requests, as far as there are any.
+    void start_waiting();
+    void refuse_slot_waiters(const std::vector<contracts::admission_ticket>& tickets);
     /// Confirms the connection in the background, then returns it to the pool or closes it.
     void release_after_confirmation(std::unique_ptr<pooled_connection> connection);
     void close_connection(pooled_connection& connection);
@@ -140,6 +185,9 @@
     std::list<std::unique_ptr<pooled_connection>> m_idle; ///< most recently used first
     std::multiset<account_name> m_confirming; ///< accounts of connections that are being confirmed
     std::deque<std::shared_ptr<pool_waiter>> m_waiters;
+    bool m_scheduled = false;
+    std::unique_ptr<scheduling::server_schedule> m_schedule; ///< null until it is needed
+    std::map<contracts::admission_ticket, std::shared_ptr<slot_waiter>> m_slot_waiters;
     std::multiset<clock::time_point> m_unanswered_since;
     std::optional<clock::time_point> m_last_answer;
     /// Time of the first failure since the last answer.
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -6,6 +6,7 @@
 #include "fleet/types/primary_grant.h"
 #include "routing/server_pool.h"
 #include "routing/types/service_report.h"
+#include "scheduling/retry_policy.h"
 #include "sessions/position_proofs.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -35,6 +36,21 @@
     /// Sets whether this instance is the zone's preferred gateway for the service.
     void set_gateway(bool gateway) { m_gateway = gateway; }
 
+    /// Sets whether the service's routes differ in priority, so that statements are scheduled by
+    /// it.
+    void set_prioritized(bool prioritized);
+
+    [[nodiscard]] bool prioritized() const noexcept { return m_prioritized; }
+
+    /// Decides on retries of statements that a server refused for lack of capacity.
+    [[nodiscard]] scheduling::retry_policy& retries() noexcept { return *m_retries; }
+
+    /// Returns the counts of the schedules of all servers since the last call.
+    [[nodiscard]] scheduling::schedule_counts take_schedule_counts();
+
+    /// Requests that wait for a connection or a slot at any server.
+    [[nodiscard]] std::size_t waiting() const;
+
     /// Records that another instance has forwarded a statement to this one.
     void record_gateway_use(clock::time_point now) { m_last_gateway_use = now; }
 
@@ -107,6 +123,10 @@
     std::map<server_name, pool_ptr> m_pools;
     std::map<server_name, fleet::connection_quota> m_connection_quotas;
     bool m_gateway = true;
+    bool m_prioritized = false;
+    std::unique_ptr<random_source> m_random = make_random_source();
+    std::unique_ptr<scheduling::retry_policy> m_retries =
+        scheduling::make_budgeted_retry_policy(*m_random);
     std::optional<clock::time_point> m_last_gateway_use;
     std::map<server_name, replica_progress> m_replica_progress;
     pool_ptr m_primary;
