Choose the servers for reads by load and by what their answers show

Every gateway sent its reads to the first server of one fixed ranking, so servers were overrun in turns while others idled, and a server that failed or refused part of its work ranked like a healthy one.

A read outside a transaction that a server ran and failed is tried once at another server.

--- a/src/routing/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -5,8 +5,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
-
 namespace oriole::routing {
 namespace {
 
@@ -20,13 +18,15 @@
 /// to it.
 constexpr clock::duration gateway_use_window = 2s;
 
-/// Penalties in the ranking of servers for a read; the server with the lowest sum is preferred. A
-/// larger penalty outweighs the sum of all smaller ones.
-constexpr int other_zone_penalty = 1;
-constexpr int primary_penalty = 1;
-constexpr int no_free_connection_penalty = 4;
-constexpr int lagging_penalty = 16;
-constexpr int failing_penalty = 64;
+scheduling::attempt_result result_of(const exchange_result& result) {
+    if (result.answer.code == sessions::answer_code::busy) {
+        return scheduling::attempt_result::refused;
+    }
+    const bool failed = result.status == exchange_status::timed_out ||
+                        result.status == exchange_status::connection_lost ||
+                        result.answer.code == sessions::answer_code::failed;
+    return failed ? scheduling::attempt_result::failed : scheduling::attempt_result::served;
+}
 
 } // namespace
 
@@ -39,6 +39,7 @@
 
 void service_traffic::apply(const std::vector<fleet::usable_server>& servers) {
     std::map<server_name, pool_ptr> next;
+    std::set<zone_name> zones{m_own_zone};
     server_name listed_primary;
     for (const auto& server : servers) {
         const auto& listed = server.listed;
@@ -53,6 +54,7 @@
             same ? known->second : std::make_shared<server_pool>(m_executor, m_connector, listed);
         pool->set_server(listed);
         m_connection_quotas[listed.id] = server.connections;
+        zones.insert(listed.zone);
         next[listed.id] = std::move(pool);
         if (server.primary) {
             listed_primary = listed.id;
@@ -63,12 +65,14 @@
         if (kept == next.end() || kept->second != pool) {
             pool->close();
             m_replica_progress.erase(id);
+            m_balancer.forget(id);
             if (kept == next.end()) {
                 m_connection_quotas.erase(id);
             }
         }
     }
     m_pools = std::move(next);
+    m_zones = static_cast<int>(zones.size());
     adjust_limits(steady_clock().now());
     const auto found = m_pools.find(listed_primary);
     const auto primary = found == m_pools.end() ? nullptr : found->second;
@@ -114,21 +118,42 @@
            m_lease.covers(server.server().id, boot_clock().now());
 }
 
-std::vector<pool_ptr> service_traffic::readers(const machines::log_position& position,
-                                               const account_name& account,
-                                               clock::time_point now) const {
-    std::vector<std::pair<int, pool_ptr>> ranked;
+pool_ptr service_traffic::choose_reader(const machines::log_position& position,
+                                        const account_name& account, const fleet::route& route,
+                                        const std::set<server_name>& tried, clock::time_point now) {
+    std::vector<scheduling::reader> readers;
     for (const auto& [id, pool] : m_pools) {
-        ranked.emplace_back(read_penalty(*pool, position, account, now), pool);
+        if (tried.contains(id)) {
+            continue;
+        }
+        auto reader = reader_for(*pool);
+        reader.connection_available = pool->available(account);
+        reader.lagging = lags(id, position, now);
+        reader.failing = pool->suspected(now);
+        readers.push_back(std::move(reader));
     }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto& left, const auto& right) { return left.first < right.first; });
-    std::vector<pool_ptr> result;
-    result.reserve(ranked.size());
-    for (auto& [penalty, pool] : ranked) {
-        result.push_back(std::move(pool));
+    const auto chosen =
+        m_balancer.choose(readers, {route.database, route.latency_target}, m_zones, now);
+    return chosen ? m_pools.at(*chosen) : nullptr;
+}
+
+void service_traffic::record_read(const server_pool& server, const exchange_result& result,
+                                  const fleet::route& route, bool begins, clock::time_point now) {
+    const auto known = m_pools.find(server.server().id);
+    if (known == m_pools.end() || known->second.get() != &server) {
+        return;
     }
-    return result;
+    const auto& code = result.answer.code;
+    if (code == sessions::answer_code::lagging || result.status == exchange_status::not_run) {
+        if (code != sessions::answer_code::busy) {
+            return;
+        }
+    }
+    scheduling::read_result ended{route.database, result_of(result), {}, reader_for(server)};
+    if (result.status == exchange_status::answered && !begins) {
+        ended.elapsed = boot_clock().now() - result.asked;
+    }
+    m_balancer.record(ended, m_zones, now);
 }
 
 void service_traffic::add_proof(const server_pool& server, const sessions::position_proof& proof) {
@@ -181,21 +206,27 @@
     return report;
 }
 
-int service_traffic::read_penalty(const server_pool& pool, const machines::log_position& position,
-                                  const account_name& account, clock::time_point now) const {
-    int penalty = pool.server().zone == m_own_zone ? 0 : other_zone_penalty;
-    penalty += m_primary.get() == &pool ? primary_penalty : 0;
-    penalty += pool.available(account) ? 0 : no_free_connection_penalty;
-    penalty += pool.suspected(now) ? failing_penalty : 0;
-    const auto known = m_replica_progress.find(pool.server().id);
-    if (known != m_replica_progress.end()) {
-        const auto& progress = known->second;
-        const bool has_reached = progress.reached && *progress.reached >= position;
-        const bool missing = progress.missing && *progress.missing <= position &&
-                             now - progress.missing_since < lag_retry_delay;
-        penalty += missing && !has_reached ? lagging_penalty : 0;
-    }
-    return penalty;
+scheduling::reader service_traffic::reader_for(const server_pool& pool) const {
+    scheduling::reader reader;
+    reader.server = pool.server().id;
+    reader.in_own_zone = pool.server().zone == m_own_zone;
+    reader.primary = m_primary.get() == &pool;
+    reader.slots = pool.server().slots;
+    reader.running = pool.outstanding();
+    return reader;
+}
+
+bool service_traffic::lags(const server_name& server, const machines::log_position& position,
+                           clock::time_point now) const {
+    const auto known = m_replica_progress.find(server);
+    if (known == m_replica_progress.end()) {
+        return false;
+    }
+    const auto& progress = known->second;
+    const bool has_reached = progress.reached && *progress.reached >= position;
+    const bool missing = progress.missing && *progress.missing <= position &&
+                         now - progress.missing_since < lag_retry_delay;
+    return missing && !has_reached;
 }
 
 void service_traffic::wake_primary_waiters() {
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -73,11 +73,13 @@
             continue;
         }
         auto outcome = co_await try_read(pool, required, transaction);
-        if (!may_try_again(outcome)) {
+        const bool runs_elsewhere =
+            required && transaction == nullptr && is_first_failure(outcome.answer.code);
+        if (!may_try_again(outcome, runs_elsewhere)) {
             co_return outcome;
         }
         m_last_outcome = std::move(outcome);
-        if (!required || m_tried_servers.size() >= m_service.readers({}, {}, {}).size()) {
+        if (!required || m_tried_servers.size() >= m_service.server_count()) {
             m_tried_servers.clear();
             if (!co_await pause()) {
                 co_return last_outcome(answer_code::busy);
@@ -113,20 +115,23 @@
 }
 
 pool_ptr statement_router::next_reader(const machines::log_position& required) {
-    for (auto& pool : m_service.readers(required, m_run.account, steady_clock().now())) {
-        if (!m_tried_servers.contains(pool->server().id)) {
-            return pool;
-        }
-    }
-    return nullptr;
+    return m_service.choose_reader(required, m_run.account, *m_run.route, m_tried_servers,
+                                   steady_clock().now());
 }
 
 run_outcome statement_router::last_outcome(answer_code code) {
     return m_last_outcome ? std::move(*m_last_outcome) : refusal(code);
 }
 
-bool statement_router::may_try_again(const run_outcome& outcome) {
-    if (!may_retry(outcome.answer.code)) {
+bool statement_router::is_first_failure(answer_code code) {
+    if (code != answer_code::failed || m_tried_servers.size() >= m_service.server_count()) {
+        return false;
+    }
+    return !std::exchange(m_failed_before, true);
+}
+
+bool statement_router::may_try_again(const run_outcome& outcome, bool runs_elsewhere) {
+    if (!may_retry(outcome.answer.code) && !runs_elsewhere) {
         return false;
     }
     m_run.handover->take_back();
@@ -194,6 +199,9 @@
         pool->discard(std::move(grant.connection));
         co_return with_server(refusal(answer_code::aborted), *pool, required);
     }
+    if (required) {
+        m_service.record_read(*pool, result, *m_run.route, begins, steady_clock().now());
+    }
     record_answer(*pool, result, required, !required);
     co_return finish_read(pool, std::move(grant.connection), std::move(result), required,
                           transaction);
--- a/src/routing/internal/statement_router.h
+++ b/src/routing/internal/statement_router.h
@@ -35,14 +35,18 @@
     run_at_primary(std::unique_ptr<open_transaction>* transaction);
 
 private:
-    /// Returns the preferred server for reads that has not been tried yet; null when all were
-    /// tried.
+    /// Returns a server for the read that has not been tried yet; null when all were tried.
     [[nodiscard]] pool_ptr next_reader(const machines::log_position& required);
 
     [[nodiscard]] run_outcome last_outcome(sessions::answer_code code);
 
+    /// Returns whether a server ran the statement and failed it, for the first time, while there
+    /// are servers that were not tried.
+    [[nodiscard]] bool is_first_failure(sessions::answer_code code);
+
     /// Returns whether the statement may be tried again after an attempt that ended so.
-    [[nodiscard]] bool may_try_again(const run_outcome& outcome);
+    /// `runs_elsewhere` says that it may although it ran, since it is a read.
+    [[nodiscard]] bool may_try_again(const run_outcome& outcome, bool runs_elsewhere = false);
 
     [[nodiscard]] boost::asio::awaitable<bool> wait_for_primary();
 
@@ -93,6 +97,7 @@
     std::set<server_name> m_tried_servers;
     std::optional<run_outcome> m_last_outcome;
     int m_attempts = 0;
+    bool m_failed_before = false; ///< a server ran the statement and failed it
 };
 
 } // namespace oriole::routing
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -104,6 +104,11 @@
 
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiters.size(); }
 
+    /// Commands that the server has yet to answer, and requests that wait for a connection to it.
+    [[nodiscard]] int outstanding() const noexcept {
+        return static_cast<int>(m_unanswered_since.size() + m_waiters.size());
+    }
+
     /// Closes connections that have been idle for longer than unused_connection_lifetime, so that
     /// they do not use up the server's connection limit, which all instances share.
     void close_unused(clock::time_point now);
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -2,10 +2,13 @@
 
 #include <utility>
 
+#include "fleet/types/configuration.h"
 #include "fleet/types/fleet_view.h"
 #include "fleet/types/primary_grant.h"
+#include "routing/server_exchange.h"
 #include "routing/server_pool.h"
 #include "routing/types/service_report.h"
+#include "scheduling/read_balancer.h"
 #include "sessions/position_proofs.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -15,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace oriole::routing {
@@ -54,11 +58,23 @@
     /// of that time.
     [[nodiscard]] bool may_use_as_primary(const server_pool& server) const;
 
-    /// Returns the servers in order of preference for a read at `position`: those of this
-    /// instance's zone, then others, then those that are failing or known to lag.
-    [[nodiscard]] std::vector<pool_ptr> readers(const machines::log_position& position,
-                                                const account_name& account,
-                                                clock::time_point now) const;
+    /// Returns the server for a read at `position` that is not in `tried`: by load one of this
+    /// instance's zone or another, and last those that are failing or known to lag. Null when there
+    /// is none. The read must be sent there, and its end recorded with record_read.
+    [[nodiscard]] pool_ptr choose_reader(const machines::log_position& position,
+                                         const account_name& account, const fleet::route& route,
+                                         const std::set<server_name>& tried, clock::time_point now);
+
+    /// Records how a read ended that was sent to a chosen server. `begins` says that it was sent
+    /// with the begin of its transaction, so that its time is not comparable.
+    void record_read(const server_pool& server, const exchange_result& result,
+                     const fleet::route& route, bool begins, clock::time_point now);
+
+    /// The number of servers.
+    [[nodiscard]] std::size_t server_count() const noexcept { return m_pools.size(); }
+
+    /// Chooses the servers for reads.
+    [[nodiscard]] scheduling::read_balancer& balancer() noexcept { return m_balancer; }
 
     /// Adds a proof that the server was the primary when its log had reached the position.
     void add_proof(const server_pool& server, const sessions::position_proof& proof);
@@ -94,9 +110,9 @@
         clock::time_point missing_since{};
     };
 
-    /// Returns the server's sum of penalties for a read; lower is better.
-    [[nodiscard]] int read_penalty(const server_pool& pool, const machines::log_position& position,
-                                   const account_name& account, clock::time_point now) const;
+    [[nodiscard]] scheduling::reader reader_for(const server_pool& pool) const;
+    [[nodiscard]] bool lags(const server_name& server, const machines::log_position& position,
+                            clock::time_point now) const;
     void wake_primary_waiters();
 
     boost::asio::any_io_executor m_executor;
@@ -113,6 +129,8 @@
     std::optional<clock::time_point> m_refused_lead_since;
     server_name m_proven_server;
     sessions::position_proofs m_proofs;
+    scheduling::read_balancer m_balancer;
+    int m_zones = 1; ///< zones with servers, and this instance's
     std::vector<std::shared_ptr<boost::asio::steady_timer>> m_primary_waiters;
 };
 
--- a/src/routing/tests/statement_runner_test.cpp
+++ b/src/routing/tests/statement_runner_test.cpp
@@ -194,6 +194,40 @@
     EXPECT_EQ(outcome.server, server_name("primary"));
 }
 
+// Guards against a caller whose read fails at one server although others would serve it.
+TEST_F(statement_runner_test, read_that_a_server_failed_runs_once_more_elsewhere) {
+    prove({1, 10});
+    m_servers.at("replica").fails_statements = true;
+    const auto outcome = run_autocommit("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    EXPECT_EQ(outcome.server, server_name("primary"));
+}
+
+// Guards against repeating a read that fails everywhere until its time is over.
+TEST_F(statement_runner_test, read_that_fails_at_two_servers_fails) {
+    prove({1, 10});
+    m_servers.at("replica").fails_statements = true;
+    m_servers.at("primary").fails_statements = true;
+    const auto outcome = run_autocommit("READ a");
+    EXPECT_EQ(outcome.answer.code, answer_code::failed);
+    EXPECT_EQ(outcome.attempts, 2);
+}
+
+// Guards against a server that answers and fails its work, and keeps all reads of its zone.
+TEST_F(statement_runner_test, reads_leave_a_server_that_fails_them) {
+    prove({1, 10});
+    m_servers.at("replica").fails_statements = true;
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(run_autocommit("READ a").answer.code, answer_code::ok);
+    }
+    const auto& received = m_servers.at("replica").received;
+    const auto at_replica =
+        std::count_if(received.begin(), received.end(), [](const auto& command) {
+            return command.kind == command_kind::caller_statement;
+        });
+    EXPECT_LE(at_replica, 4);
+}
+
 /// The same with leases on the primary, as on platforms where a replaced primary keeps accepting
 /// writes.
 class leased_statement_runner_test : public statement_runner_test {
