--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -19,6 +19,9 @@
 /// as the number of operations in the last report interval.
 constexpr int max_prefetched_operations = 64;
 
+/// How often the number of reads of each server is logged.
+constexpr clock::duration read_share_interval = std::chrono::seconds(10);
+
 const std::vector<fleet::registered_instance> no_instances;
 
 } // namespace
@@ -212,12 +215,55 @@
         known->traffic.adjust_limits(now);
         report.services[name] = known->traffic.report(now);
     }
+    log_health_changes();
+    if (now >= m_next_read_shares) {
+        m_next_read_shares = now + read_share_interval;
+        log_read_shares();
+    }
     for (auto& [account, prefetched] : m_prefetched) {
         prefetched.previous_interval = std::exchange(prefetched.current_interval, 0);
     }
     return report;
 }
 
+void traffic_context::log_health_changes() {
+    for (const auto& [name, known] : m_services) {
+        auto* balancer = known->traffic.balancer();
+        if (balancer == nullptr) {
+            continue;
+        }
+        for (const auto& change : balancer->take_health_changes()) {
+            m_metrics.get("oriole_servers_ejected").add(change.ejected ? 1 : -1);
+            if (change.ejected) {
+                m_metrics.get("oriole_server_ejections_total").add();
+            }
+            m_log.write(log_entry("server_health")
+                            .add("service", name.str())
+                            .add("server", change.server.str())
+                            .add("outcome", change.ejected ? "ejected" : "taken_back")
+                            .add("reason", scheduling::to_string(change.reason)));
+        }
+    }
+}
+
+void traffic_context::log_read_shares() {
+    for (const auto& [name, known] : m_services) {
+        auto* balancer = known->traffic.balancer();
+        if (balancer == nullptr) {
+            continue;
+        }
+        for (const auto& share : balancer->take_read_shares()) {
+            if (share.reads > 0) {
+                m_log.write(log_entry("server_reads")
+                                .add("service", name.str())
+                                .add("server", share.server.str())
+                                .add("reads", share.reads)
+                                .add("health", share.ejected ? "ejected" : "good"));
+            }
+        }
+    }
+}
+
 void traffic_context::apply_rates() {
     const auto now = steady_clock().now();
     const contracts::share whole(
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -115,6 +115,10 @@
     [[nodiscard]] service_entry& service(const service_name& name);
     void apply_roles();
     void apply_rates();
+    /// Logs the servers that were ejected or taken back since the last call.
+    void log_health_changes();
+    /// Logs how many reads each server received since the last call.
+    void log_read_shares();
 
     boost::asio::any_io_executor m_executor;
     routing::checked_connector m_connector;
@@ -131,6 +135,7 @@
     std::unique_ptr<contracts::rate_limiter> m_limiter;
     std::map<account_name, fleet::account_share> m_shares;
     std::map<account_name, prefetched_operations> m_prefetched;
+    clock::time_point m_next_read_shares{};
 };
 
 } // namespace oriole::entry
--- a/src/routing/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -18,6 +18,14 @@
 /// to it.
 constexpr clock::duration gateway_use_window = 2s;
 
+/// Returns whether the result says something about the server's load or health. A refusal for
+/// another reason than load does not.
+bool shows_load(const exchange_result& result) {
+    const auto code = result.answer.code;
+    return code == sessions::answer_code::busy ||
+           (code != sessions::answer_code::lagging && result.status != exchange_status::not_run);
+}
+
 scheduling::attempt_result result_of(const exchange_result& result) {
     if (result.answer.code == sessions::answer_code::busy) {
         return scheduling::attempt_result::refused;
@@ -65,7 +73,9 @@
         if (kept == next.end() || kept->second != pool) {
             pool->close();
             m_replica_progress.erase(id);
-            m_balancer.forget(id);
+            if (m_balancer != nullptr) {
+                m_balancer->forget(id);
+            }
             if (kept == next.end()) {
                 m_connection_quotas.erase(id);
             }
@@ -132,28 +142,26 @@
         reader.failing = pool->suspected(now);
         readers.push_back(std::move(reader));
     }
+    if (m_balancer == nullptr) {
+        m_balancer = std::make_unique<scheduling::read_balancer>();
+    }
     const auto chosen =
-        m_balancer.choose(readers, {route.database, route.latency_target}, m_zones, now);
+        m_balancer->choose(readers, {route.database, route.latency_target}, m_zones, now);
     return chosen ? m_pools.at(*chosen) : nullptr;
 }
 
 void service_traffic::record_read(const server_pool& server, const exchange_result& result,
                                   const fleet::route& route, bool begins, clock::time_point now) {
     const auto known = m_pools.find(server.server().id);
-    if (known == m_pools.end() || known->second.get() != &server) {
+    if (m_balancer == nullptr || known == m_pools.end() || known->second.get() != &server ||
+        !shows_load(result)) {
         return;
     }
-    const auto& code = result.answer.code;
-    if (code == sessions::answer_code::lagging || result.status == exchange_status::not_run) {
-        if (code != sessions::answer_code::busy) {
-            return;
-        }
-    }
     scheduling::read_result ended{route.database, result_of(result), {}, reader_for(server)};
     if (result.status == exchange_status::answered && !begins) {
         ended.elapsed = boot_clock().now() - result.asked;
     }
-    m_balancer.record(ended, m_zones, now);
+    m_balancer->record(ended, m_zones, now);
 }
 
 void service_traffic::add_proof(const server_pool& server, const sessions::position_proof& proof) {
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -73,8 +73,9 @@
     /// The number of servers.
     [[nodiscard]] std::size_t server_count() const noexcept { return m_pools.size(); }
 
-    /// Chooses the servers for reads.
-    [[nodiscard]] scheduling::read_balancer& balancer() noexcept { return m_balancer; }
+    /// Chooses the servers for reads; null before the first read, as on instances that are no
+    /// gateway for the service.
+    [[nodiscard]] scheduling::read_balancer* balancer() noexcept { return m_balancer.get(); }
 
     /// Adds a proof that the server was the primary when its log had reached the position.
     void add_proof(const server_pool& server, const sessions::position_proof& proof);
@@ -129,7 +130,7 @@
     std::optional<clock::time_point> m_refused_lead_since;
     server_name m_proven_server;
     sessions::position_proofs m_proofs;
-    scheduling::read_balancer m_balancer;
+    std::unique_ptr<scheduling::read_balancer> m_balancer;
     int m_zones = 1; ///< zones with servers, and this instance's
     std::vector<std::shared_ptr<boost::asio::steady_timer>> m_primary_waiters;
 };
--- a/src/scheduling/internal/read_balancer.cpp
+++ b/src/scheduling/internal/read_balancer.cpp
@@ -73,6 +73,18 @@
     }
 }
 
+void read_balancer::forget(const server_name& server) {
+    const auto known = m_servers.find(server);
+    if (known == m_servers.end()) {
+        return;
+    }
+    const auto& health = known->second.health;
+    if (health.ejected()) {
+        m_health_changes.push_back({server, false, health.reason()});
+    }
+    m_servers.erase(known);
+}
+
 std::vector<health_change> read_balancer::take_health_changes() {
     return std::exchange(m_health_changes, {});
 }
--- a/src/scheduling/read_balancer.h
+++ b/src/scheduling/read_balancer.h
@@ -35,8 +35,9 @@
     /// Records how a read ended.
     void record(const read_result& result, int zones, clock::time_point now);
 
-    /// Forgets what is known of the server, which was restarted or is gone.
-    void forget(const server_name& server) { m_servers.erase(server); }
+    /// Forgets what is known of the server, which was restarted or is gone. If it was ejected, that
+    /// ends.
+    void forget(const server_name& server);
 
     /// Returns the changes since the last call.
     [[nodiscard]] std::vector<health_change> take_health_changes();
