--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -250,10 +250,13 @@
     if (m_open_connections < m_limit) {
         return m_no_new_connections_until <= steady_clock().now();
     }
-    return std::any_of(
-               m_idle.begin(), m_idle.end(),
-               [&account](const auto& connection) { return connection->account == account; }) ||
-           !m_idle.empty();
+    return !m_idle.empty();
+}
+
+bool server_pool::has_idle(const account_name& account) const {
+    return std::any_of(m_idle.begin(), m_idle.end(), [&account](const auto& connection) {
+        return connection->account == account;
+    });
 }
 
 void server_pool::close_unused(clock::time_point now) {
--- a/src/routing/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -137,6 +137,7 @@
             continue;
         }
         auto reader = reader_for(*pool);
+        reader.connected = pool->has_idle(account);
         reader.connection_available = pool->available(account);
         reader.lagging = lags(id, position, now);
         reader.failing = pool->suspected(now);
@@ -164,6 +165,12 @@
     m_balancer->record(ended, m_zones, now);
 }
 
+void service_traffic::record_open(clock::duration elapsed, clock::time_point now) {
+    if (m_balancer != nullptr) {
+        m_balancer->record_open(elapsed, now);
+    }
+}
+
 void service_traffic::add_proof(const server_pool& server, const sessions::position_proof& proof) {
     m_proofs.add(proof);
     m_proven_server = server.server().id;
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -102,6 +102,9 @@
     /// Returns whether a connection for the account is available without waiting.
     [[nodiscard]] bool available(const account_name& account) const;
 
+    /// Returns whether a connection of the account is idle.
+    [[nodiscard]] bool has_idle(const account_name& account) const;
+
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiters.size(); }
 
     /// Commands that the server has yet to answer, and requests that wait for a connection to it.
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -70,6 +70,9 @@
     void record_read(const server_pool& server, const exchange_result& result,
                      const fleet::route& route, bool begins, clock::time_point now);
 
+    /// Records the time from the request for a connection, which was opened for it, to the grant.
+    void record_open(clock::duration elapsed, clock::time_point now);
+
     /// The number of servers.
     [[nodiscard]] std::size_t server_count() const noexcept { return m_pools.size(); }
 
--- a/src/scheduling/internal/read_balancer.cpp
+++ b/src/scheduling/internal/read_balancer.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/read_balancer.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace oriole::scheduling {
@@ -10,6 +11,9 @@
 /// short queue, stays below it.
 constexpr int slow_factor = 4;
 
+/// The only kind of `m_open_times`.
+const std::string open_kind = "open";
+
 /// Returns the execution slots that this gateway may count on. The gateways of all zones send their
 /// writes to the primary, and reads that leave their zone to the others.
 int slots_for(const reader& reader, int zones) {
@@ -38,6 +42,7 @@
     std::vector<read_candidate> candidates;
     candidates.reserve(readers.size());
     const auto expected = m_usual_times.of(request.kind);
+    const auto open_time = m_open_times.of(open_kind);
     bool probes = false;
     for (const auto& reader : readers) {
         auto& state = state_of(reader.server);
@@ -45,6 +50,7 @@
         candidate.suitability = suitability_of(reader, state.health, !probes, now);
         candidate.response = state.load.predicted_response(
             {reader.running, slots_for(reader, zones), expected}, now);
+        candidate.response += reader.connected ? clock::duration::zero() : open_time;
         candidate.refused_share = state.load.refused_share(now);
         candidate.in_own_zone = reader.in_own_zone;
         candidate.primary = reader.primary;
@@ -73,6 +79,10 @@
     }
 }
 
+void read_balancer::record_open(clock::duration elapsed, clock::time_point now) {
+    m_open_times.record(open_kind, elapsed, now);
+}
+
 void read_balancer::forget(const server_name& server) {
     const auto known = m_servers.find(server);
     if (known == m_servers.end()) {
--- a/src/scheduling/read_balancer.h
+++ b/src/scheduling/read_balancer.h
@@ -35,6 +35,9 @@
     /// Records how a read ended.
     void record(const read_result& result, int zones, clock::time_point now);
 
+    /// Records the time that opening a connection took.
+    void record_open(clock::duration elapsed, clock::time_point now);
+
     /// Forgets what is known of the server, which was restarted or is gone. If it was ejected, that
     /// ends.
     void forget(const server_name& server);
@@ -63,6 +66,7 @@
     std::unique_ptr<random_source> m_random;
     std::unique_ptr<server_choice> m_choice;
     usual_times m_usual_times;
+    usual_times m_open_times; ///< of a single kind
     std::map<server_name, server_state> m_servers;
     std::vector<health_change> m_health_changes;
 };
--- a/src/scheduling/tests/even_load_test.cpp
+++ b/src/scheduling/tests/even_load_test.cpp
@@ -123,6 +123,8 @@
     int m_answer_age_ms = 5;
     bool m_failures_are_known = true; ///< false is the planted fault
 
+    clock::time_point m_now{1h};
+
 private:
     static read_balancer make_balancer(choice_kind kind, std::uint64_t seed) {
         auto random = make_random_source(seed);
@@ -152,7 +154,7 @@
         }
         const auto chosen = balancer.choose(readers, {"db", target}, gateways, m_now);
         auto& at = m_servers[static_cast<std::size_t>(chosen->str().back() - '0')];
-        const bool fails = m_random->next() % 1000 < 1000 * at.failing_share;
+        const bool fails = static_cast<double>(m_random->next() % 1000) < 1000 * at.failing_share;
         // Between half and one and a half of the mean.
         const int ms = work_ms / 2 + static_cast<int>(m_random->next() % work_ms);
         at.queue.push_back({gateway, m_now, ms * at.slowdown, m_answer_age_ms, fails});
@@ -198,7 +200,6 @@
         balancer.record({"db", result, elapsed, reader_for(index, read.gateway)}, gateways, m_now);
     }
 
-    clock::time_point m_now{1h};
     std::unique_ptr<random_source> m_random = make_random_source(11);
     std::vector<double> m_due = std::vector<double>(gateways);
     totals m_totals;
@@ -258,6 +259,22 @@
     EXPECT_GT(weighted.received[0], 10);
 }
 
+// Guards against opening connections, each of which takes a slot, beside others that are idle.
+TEST_F(even_load_test, server_with_an_idle_connection_is_preferred_outside_the_zone) {
+    read_balancer balancer(make_random_source(5));
+    balancer.record_open(60ms, m_now);
+    std::vector<reader> readers(2);
+    readers[0] = {.server = server_name("a"), .in_own_zone = false, .slots = slots};
+    readers[1] = {.server = server_name("b"), .in_own_zone = false, .slots = slots};
+    readers[1].connected = true;
+    int at_connected = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto chosen = balancer.choose(readers, {"db", target}, gateways, m_now);
+        at_connected += chosen == readers[1].server ? 1 : 0;
+    }
+    EXPECT_GT(at_connected, 90);
+}
+
 // Guards against reads that leave their zone, where bytes are dear, although nobody waits.
 TEST_F(even_load_test, light_load_stays_in_its_zone) {
     const auto weighted = play(choice_kind::weighted, {0.05, 0, 0});
