--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -398,10 +398,13 @@
     if (m_open_connections < m_limit) {
         return m_no_new_connections_until <= steady_clock().now();
     }
-    return std::any_of(
-               m_idle.begin(), m_idle.end(),
-               [&account](const auto& connection) { return connection->account == account; }) ||
-           !m_idle.empty();
+    return !m_idle.empty();
+}
+
+bool server_pool::has_idle(const account_name& account) const {
+    return std::any_of(m_idle.begin(), m_idle.end(), [&account](const auto& connection) {
+        return connection->account == account;
+    });
 }
 
 void server_pool::close_unused(clock::time_point now) {
@@ -483,15 +486,17 @@
 asio::awaitable<pool_grant> server_pool::open(account_name account) {
     pool_grant grant;
     grant.opened = true;
+    const auto started = steady_clock().now();
     auto connection = std::make_unique<pooled_connection>();
     connection->channel = m_connector.make_channel(m_executor);
     connection->account = account;
-    mark_waiting(*connection, steady_clock().now());
+    mark_waiting(*connection, started);
     try {
         connection_request request{m_server.address, m_server.service, account, m_server.id};
         const auto answer = co_await connection->channel->open(std::move(request), open_limit);
         mark_answered(*connection, steady_clock().now());
         if (answer.code == answer_code::ok) {
+            grant.opening = steady_clock().now() - started;
             grant.connection = std::move(connection);
             co_return grant;
         }
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -43,7 +43,8 @@
 struct pool_grant {
     std::unique_ptr<pooled_connection> connection;
     sessions::answer_code refusal = sessions::answer_code::ok;
-    bool opened = false; ///< the connection was opened for this request
+    bool opened = false;       ///< the connection was opened for this request
+    clock::duration opening{}; ///< time that opening it took
     /// Refused by this instance: the statement could not start in time at the server.
     bool overloaded = false;
 };
@@ -127,11 +128,19 @@
     /// Returns whether a connection for the account is available without waiting.
     [[nodiscard]] bool available(const account_name& account) const;
 
+    /// Returns whether a connection of the account is idle.
+    [[nodiscard]] bool has_idle(const account_name& account) const;
+
     /// Requests that wait for a connection or a slot.
     [[nodiscard]] std::size_t waiting() const noexcept {
         return m_waiters.size() + m_slot_waiters.size();
     }
 
+    /// Commands that the server has yet to answer, and requests that wait for a connection to it.
+    [[nodiscard]] int outstanding() const noexcept {
+        return static_cast<int>(m_unanswered_since.size() + waiting());
+    }
+
     /// Closes connections that have been idle for longer than unused_connection_lifetime, so that
     /// they do not use up the server's connection limit, which all instances share.
     void close_unused(clock::time_point now);
