Register a waiting statement before others are refused

A request that a schedule accepts and refuses again in the same call would not have been found among the waiting ones. No such case was seen.

--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -136,14 +136,16 @@
         grant = co_await connect(std::move(account), values, deadline);
     } else {
         const auto ticket = m_schedule->enqueue({account, priority, deadline}, now);
+        const auto own = std::make_shared<slot_waiter>(m_executor, account, std::move(values));
+        if (ticket) {
+            m_slot_waiters.emplace(*ticket, own);
+        }
         refuse_slot_waiters(m_schedule->take_refused(now));
         if (!ticket) {
             grant.refusal = answer_code::busy;
             grant.overloaded = true;
             co_return grant;
         }
-        const auto own = std::make_shared<slot_waiter>(m_executor, account, std::move(values));
-        m_slot_waiters.emplace(*ticket, own);
         start_waiting();
         while (!own->decided) {
             own->timer.expires_at(deadline);
