--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -16,12 +16,6 @@
 /// long, so each account may use the operations that its rate allows for that time.
 constexpr clock::duration min_startup_time = std::chrono::milliseconds(500);
 
-/// Operations that a coordinator has admitted in advance expire after this time.
-constexpr clock::duration prefetch_lifetime = std::chrono::milliseconds(100);
-/// Maximum batch of operations that is requested from a coordinator at once. The batch is as large
-/// as the number of operations in the last report interval.
-constexpr int max_prefetched_operations = 64;
-
 /// How often the number of reads of each server is logged.
 constexpr clock::duration read_share_interval = std::chrono::seconds(10);
 
@@ -119,14 +113,11 @@
         // Only accounts have rates; a database that is open to all has clients without an account.
         co_return true;
     }
-    const auto now = steady_clock().now();
-    auto& prefetched = m_prefetched[account];
-    ++prefetched.current_interval;
-    if (prefetched.remaining > 0 && prefetched.expires_at > now) {
-        --prefetched.remaining;
-        co_return true;
+    const auto known = m_advance_admissions[account].decide(steady_clock().now());
+    if (known != advance_admissions::decision::unknown) {
+        co_return known == advance_admissions::decision::admitted;
     }
-    const int wanted = std::clamp(prefetched.previous_interval, 1, max_prefetched_operations);
+    const int wanted = m_advance_admissions[account].wanted();
     const auto roles = m_view->roles;
     const auto group = static_cast<std::size_t>(fleet::rate_group_of(account));
     for (const auto& coordinator : roles == nullptr ? no_instances : roles->rates.at(group).order) {
@@ -139,11 +130,7 @@
         std::string failure;
         try {
             const int admitted = co_await m_link.admit(coordinator, account, wanted);
-            if (admitted > 1) {
-                auto& known = m_prefetched[account];
-                known.remaining = admitted - 1;
-                known.expires_at = steady_clock().now() + prefetch_lifetime;
-            }
+            m_advance_admissions[account].record_answer(admitted, steady_clock().now());
             co_return admitted > 0;
         } catch (const gateway_refused& refused) {
             failure = refused.what();
@@ -171,7 +158,7 @@
 
 int traffic_context::admit_locally(const account_name& account, int operations) {
     const auto now = steady_clock().now();
-    for (const int amount : {std::clamp(operations, 1, max_prefetched_operations), 1}) {
+    for (const int amount : {std::clamp(operations, 1, advance_admissions::max_batch), 1}) {
         if (m_limiter->try_spend(account, amount, now).is_admitted()) {
             return amount;
         }
@@ -243,8 +230,8 @@
         m_next_read_shares = now + read_share_interval;
         log_read_shares();
     }
-    for (auto& [account, prefetched] : m_prefetched) {
-        prefetched.previous_interval = std::exchange(prefetched.current_interval, 0);
+    for (auto& [account, admissions] : m_advance_admissions) {
+        admissions.end_interval();
     }
     return report;
 }
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -6,6 +6,7 @@
 #include "base/latency_histogram.h"
 #include "base/metric_registry.h"
 #include "contracts/rate_limiter.h"
+#include "entry/internal/advance_admissions.h"
 #include "entry/internal/forwarding_executor.h"
 #include "entry/internal/gateway_link.h"
 #include "entry/internal/local_executor.h"
@@ -59,7 +60,7 @@
     [[nodiscard]] bool has_share_of(const account_name& account) const;
 
     /// Returns how many of the operations are within this instance's share of the account's rate:
-    /// the batch of up to max_prefetched_operations, or one, or none.
+    /// the batch of up to advance_admissions::max_batch, or one, or none.
     [[nodiscard]] int admit_locally(const account_name& account, int operations);
 
     /// Returns the executor for statements of this instance's own clients.
@@ -93,15 +94,6 @@
     [[nodiscard]] latency_histogram& statement_latency() noexcept { return m_statement_latency; }
 
 private:
-    /// Operations of one account that a coordinator has admitted in advance, and the account's
-    /// recent number of operations.
-    struct prefetched_operations {
-        int remaining = 0;
-        clock::time_point expires_at{};
-        int current_interval = 0;  ///< operations since the last report to the control thread
-        int previous_interval = 0; ///< operations in the report interval before it
-    };
-
     /// One service, with the executors for its statements: over this instance's own connections, or
     /// through a gateway.
     struct service_entry {
@@ -136,7 +128,7 @@
     std::map<service_name, std::unique_ptr<service_entry>> m_services;
     std::unique_ptr<contracts::rate_limiter> m_limiter;
     std::map<account_name, fleet::account_share> m_shares;
-    std::map<account_name, prefetched_operations> m_prefetched;
+    std::map<account_name, advance_admissions> m_advance_admissions;
     clock::time_point m_next_read_shares{};
 };
 
