Count operations at servers, bring the counts together and report them

Cause: the parts of the module usage had no messages and no caller.

Change: routing counts each read, write and commit that a server began to run; the traffic thread hands the counts over with its report; the control thread delivers them to three collectors of the zone, which relay them to the other zones. Without usage settings none of this exists and no message has a further field. At a planned stop the traffic thread reports once more and the counts are delivered at once.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -87,6 +87,11 @@
                     m_peers.exchange_with_all();
                     publish();
                 }),
+      m_usage(settings.usage ? std::make_unique<usage_reporting>(
+                                   m_io.get_executor(), *settings.usage, m_own, m_fleet, m_peers,
+                                   m_store->usage_orders(),
+                                   platform.make_usage_authority(m_io.get_executor()), log, metrics)
+                             : nullptr),
       m_admin(links::make_http_admin_server(m_io.get_executor(), settings.admin, *this)) {}
 
 void control_thread::run() {
@@ -104,6 +109,7 @@
         run_in_background("promotion_orders", [this] { return read_orders(); });
     }
     run_in_background("peer_reports", [this] { return m_peers.run(); });
+    start_usage_reporting();
     run_in_background("log", [this] { return flush_log(); });
     run_in_background("signals", [this] { return wait_for_signals(); });
     run_event_loop(m_io, m_log, "control_thread");
@@ -171,6 +177,16 @@
                        });
 }
 
+void control_thread::start_usage_reporting() {
+    if (m_usage == nullptr) {
+        return;
+    }
+    run_in_background("usage_delivery",
+                      [this] { return m_usage->collector().deliver_regularly(); });
+    run_in_background("usage_relay", [this] { return m_usage->collector().relay_regularly(); });
+    run_in_background("usage_reports", [this] { return m_usage->reporter().run(); });
+}
+
 asio::awaitable<void> control_thread::maintain_registration() {
     while (!m_leaving) {
         const bool registered = co_await register_once();
@@ -277,6 +293,9 @@
 
 asio::awaitable<void> control_thread::leave() {
     m_peers.announce_leaving();
+    if (m_usage != nullptr) {
+        m_usage->collector().deliver_all();
+    }
     asio::co_spawn(
         m_io,
         [this]() -> asio::awaitable<void> {
@@ -317,6 +336,9 @@
 void control_thread::on_traffic(const traffic_report& report) {
     const auto now = steady_clock().now();
     m_fleet.record_traffic(report);
+    if (m_usage != nullptr) {
+        m_usage->collector().add_runs(report.runs);
+    }
     const bool any_failing = m_fleet.any_primary_failing();
     if (any_failing && !m_primary_failed) {
         m_peers.exchange_with_all();
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -10,6 +10,7 @@
 #include "entry/internal/promotion_orders.h"
 #include "entry/internal/store_follower.h"
 #include "entry/internal/traffic_thread.h"
+#include "entry/internal/usage_reporting.h"
 #include "entry/internal/watch_schedule.h"
 #include "links/admin_server.h"
 
@@ -50,6 +51,7 @@
     void follow(object_collection<Value>& kind, const std::string& name,
                 page_handler<Value> on_page);
     void start_followers();
+    void start_usage_reporting();
     [[nodiscard]] boost::asio::awaitable<void> maintain_registration();
     [[nodiscard]] boost::asio::awaitable<bool> register_once();
     /// Waits until this instance's entry has to be written again: after `time`, or sooner when the
@@ -88,6 +90,7 @@
     lease_revoker m_leases;
     promotion_orders m_orders;
     primary_changer m_changer;
+    std::unique_ptr<usage_reporting> m_usage; ///< null where usage is not reported
     std::shared_ptr<links::admin_server> m_admin;
     fleet::fleet_view m_published;
     std::optional<clock::time_point> m_store_lost_since;
--- a/src/entry/internal/fleet_state.h
+++ b/src/entry/internal/fleet_state.h
@@ -172,6 +172,17 @@
         return m_roles->report_peers;
     }
 
+    /// The collectors of usage by zone, perhaps including this instance.
+    [[nodiscard]] const std::map<zone_name, std::vector<fleet::registered_instance>>&
+    usage_collectors() const noexcept {
+        return m_roles->usage_collectors;
+    }
+
+    /// The watchers of all zones, perhaps including this instance.
+    [[nodiscard]] const std::vector<fleet::registered_instance>& all_watchers() const noexcept {
+        return m_roles->all_watchers;
+    }
+
     /// Returns whether this instance requests reports from the peer, rather than only receiving the
     /// peer's requests.
     [[nodiscard]] bool is_polled_peer(const instance_id& peer) const {
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -136,6 +136,9 @@
     const auto answered = co_await m_link->call(peer.peer_address, report_method, std::move(text),
                                                 started + call_limit);
     auto report = decode_report(answered);
+    if (m_clocks != nullptr && report.wall_time) {
+        m_clocks->record_wall_time(report.from, *report.wall_time, asked, boot_clock().now());
+    }
     log_unusable_names(report);
     m_fleet.merge_report(report, asked, steady_clock().now());
     set_reachable(peer.id, true, "answered");
@@ -161,6 +164,9 @@
     auto report = m_fleet.report_for(&request, now);
     report.leaving = m_leaving;
     report.granted_loans = m_fleet.grant_loans(request, boot_clock().now());
+    if (m_clocks != nullptr) {
+        report.wall_time = m_clocks->own_wall_time();
+    }
     co_return encode_report(report);
 }
 
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -4,6 +4,7 @@
 
 #include "base/decision_log.h"
 #include "entry/internal/fleet_state.h"
+#include "entry/internal/peer_clocks.h"
 #include "entry/internal/unexpected_replies.h"
 #include "links/peer_link.h"
 
@@ -56,6 +57,15 @@
     /// of them failed; nullopt when there are none.
     [[nodiscard]] std::optional<bool> lost_other_zones(const zone_name& own_zone) const;
 
+    /// From now on, reports state this instance's wall clock, and those of other instances are
+    /// passed to `clocks`, which must outlive this object.
+    void exchange_clocks(peer_clocks& clocks) { m_clocks = &clocks; }
+
+    /// The link and the server that further methods may use.
+    [[nodiscard]] links::peer_link& link() { return *m_link; }
+
+    [[nodiscard]] links::peer_server& server() { return *m_server; }
+
     void stop() { m_server->stop(); }
 
 private:
@@ -78,6 +88,7 @@
     std::unique_ptr<links::peer_link> m_link;
     std::unique_ptr<links::peer_server> m_server;
     std::function<boost::asio::awaitable<void>()> m_apply_orders;
+    peer_clocks* m_clocks = nullptr; ///< null where usage is not reported
     int m_orders_being_applied = 0;
     std::set<instance_id> m_exchanges_in_progress;
     std::map<instance_id, bool> m_reachable;
--- a/src/entry/internal/peer_report_codec.cpp
+++ b/src/entry/internal/peer_report_codec.cpp
@@ -123,6 +123,21 @@
     return value;
 }
 
+/// Wall clocks beyond this are not read: 292 years do not fit into nanoseconds.
+constexpr std::int64_t max_wall_us = std::int64_t{9'000'000'000} * 1'000'000;
+
+json encode_wall_time(usage::true_time time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+}
+
+usage::true_time decode_wall_time(const json& in) {
+    const auto value = in.get<std::int64_t>();
+    if (value < 0 || value > max_wall_us) {
+        throw report_unreadable("wall clock out of range in a report");
+    }
+    return usage::true_time(std::chrono::microseconds(value));
+}
+
 json encode_revision(const fleet::store_revision& revision) {
     return {revision.era, revision.number};
 }
@@ -176,6 +191,9 @@
                                                  server_name(order.at(1).get<std::string>())};
         }
     }
+    if (in.contains("wall_us")) {
+        report.wall_time = decode_wall_time(in.at("wall_us"));
+    }
     if (in.contains("configuration")) {
         report.configuration = std::make_shared<const fleet::configuration>(
             decode_configuration(in.at("configuration")));
@@ -234,6 +252,9 @@
             out["orders"][name.str()] = {order.fence, order.target.str()};
         }
     }
+    if (report.wall_time) {
+        out["wall_us"] = encode_wall_time(*report.wall_time);
+    }
     if (report.configuration != nullptr) {
         out["configuration"] = encode_configuration(*report.configuration);
     }
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -38,6 +38,7 @@
       m_log(log),
       m_metrics(metrics),
       m_statement_latency(metrics, "oriole_statement_latency"),
+      m_run_counter(settings.usage ? usage::make_run_counter() : nullptr),
       m_view(std::make_shared<const fleet::fleet_view>()),
       m_link(m_executor, log, metrics),
       m_limiter(contracts::contracts_module::make_rate_limiter()) {}
@@ -215,6 +216,9 @@
     for (auto& [account, prefetched] : m_prefetched) {
         prefetched.previous_interval = std::exchange(prefetched.current_interval, 0);
     }
+    if (m_run_counter != nullptr) {
+        report.runs = m_run_counter->take();
+    }
     return report;
 }
 
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -15,6 +15,7 @@
 #include "fleet/types/fleet_view.h"
 #include "routing/checked_connector.h"
 #include "routing/service_traffic.h"
+#include "usage/run_counter.h"
 
 #include <map>
 #include <memory>
@@ -124,6 +125,8 @@
     decision_log& m_log;
     metric_registry& m_metrics;
     latency_histogram m_statement_latency;
+    /// Null where usage is not reported.
+    std::unique_ptr<usage::run_counter> m_run_counter;
     std::shared_ptr<const fleet::fleet_view> m_view;
     gateway_link m_link;
     suspension_monitor m_suspensions;
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -171,6 +171,7 @@
         co_await pause(end_interval);
     }
     m_listener->stop();
+    m_on_report(m_context.collect_report());
     on_end();
 }
 
--- a/src/entry/tests/damaged_message_test.cpp
+++ b/src/entry/tests/damaged_message_test.cpp
@@ -2,6 +2,9 @@
 #include "entry/forward_codec.h"
 #include "entry/internal/fleet_state.h"
 #include "entry/peer_report_codec.h"
+#include "entry/usage_message_codec.h"
+#include "usage/report_duty.h"
+#include "usage/usage_ledger.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -69,6 +72,7 @@
         server.revision = {2, 5};
         report.servers = {server};
         report.evacuated = {{zone_name("z"), {1, 6}}};
+        report.wall_time = usage::true_time(500'000h);
         return report;
     }
 
@@ -133,5 +137,29 @@
     }
 }
 
+// Guards against a collector of usage that ends, because a message cannot be read or has senseless
+// values.
+RC_GTEST_FIXTURE_PROP(damaged_message_test, usage_counts_are_merged_or_rejected, ()) {
+    const usage::entry_key key{70, instance_id("peer"), 5};
+    const auto text = damaged(encode_counts(
+        {{{key, {{account_name("t"), 3}}, 3}}, false, {69, 8, instance_id("peer"), 1ms, true}}));
+    try {
+        const auto message = decode_counts(text);
+        usage::usage_ledger ledger;
+        ledger.keep(68, 71);
+        usage::counts_receipt receipt;
+        for (const auto& entry : message.entries) {
+            receipt.totals[entry.key] = ledger.merge(entry);
+        }
+        usage::report_duty duty(instance_id("own"), {5s, 10s, 3s});
+        duty.heard(message.order, clock::time_point(1h));
+        receipt.order = duty.news(clock::time_point(1h));
+        static_cast<void>(decode_receipt(encode_receipt(receipt)));
+        static_cast<void>(encode_entries_answer({ledger.missing_from({}, 70), 1}));
+    } catch (const report_unreadable&) {
+        RC_CLASSIFY(true, "rejected");
+    }
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/entry/types/peer_report.h
+++ b/src/entry/types/peer_report.h
@@ -5,6 +5,7 @@
 #include "entry/fleet_store.h"
 #include "fleet/types/configuration_rank.h"
 #include "machines/types/log_position.h"
+#include "usage/types/true_time.h"
 
 #include <cstdint>
 #include <map>
@@ -85,6 +86,8 @@
     std::shared_ptr<const fleet::configuration> configuration;
     std::optional<std::vector<fleet::registered_server>> servers;
     std::optional<std::vector<reported_evacuation>> evacuated;
+    /// The sender's wall clock, where usage is reported.
+    std::optional<usage::true_time> wall_time;
     /// Names in a received report that no message can carry. Their servers, and the routes,
     /// services and accounts of the configuration, are left out.
     std::vector<std::string> unusable_names;
--- a/src/fleet/internal/role_assignment.cpp
+++ b/src/fleet/internal/role_assignment.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t small_zone_instances = 3;
 /// Number of store watchers per zone. One of them may fail without delaying updates for the zone.
 constexpr std::size_t watchers_per_zone = 2;
+/// Number of collectors of usage per zone. If a third of all instances fail at once, one remains in
+/// each zone with a probability of 88%.
+constexpr std::size_t collectors_per_zone = 3;
 
 using zone_members = std::map<zone_name, std::vector<registered_instance>>;
 
@@ -213,16 +216,19 @@
         }
         roles.rates.push_back(std::move(assigned));
     }
-    std::vector<registered_instance> all_watchers;
+    std::vector<std::vector<registered_instance>> watchers_by_zone;
     for (const auto& [zone, members] : zones) {
-        auto ranked = highest_ranked(rank_instances(members, "store watcher"), watchers_per_zone);
-        all_watchers.insert(all_watchers.end(), ranked.begin(), ranked.end());
+        auto ranked = highest_ranked(rank_instances(members, "store watcher"), collectors_per_zone);
+        roles.usage_collectors[zone] = ranked;
+        ranked = highest_ranked(std::move(ranked), watchers_per_zone);
+        watchers_by_zone.push_back(ranked);
         if (zone == own.zone) {
             roles.watchers = std::move(ranked);
         }
     }
+    roles.all_watchers = interleave(watchers_by_zone, "usage reporter");
     const auto& polled_peers =
-        contains_instance(roles.watchers, own.id) ? all_watchers : roles.watchers;
+        contains_instance(roles.watchers, own.id) ? roles.all_watchers : roles.watchers;
     report_peers.add(polled_peers);
     for (const auto& instance : polled_peers) {
         roles.polled_peers.insert(instance.id);
--- a/src/fleet/role_assignment.h
+++ b/src/fleet/role_assignment.h
@@ -50,6 +50,11 @@
     std::vector<rate_roles> rates; ///< roles by rate group
     /// Instances of the own zone that watch the store on behalf of the zone.
     std::vector<registered_instance> watchers;
+    /// The watchers of all zones, those that rank first in their zone before the others.
+    std::vector<registered_instance> all_watchers;
+    /// Instances of each zone that collect the counts of usage, preferred one first: the watchers
+    /// and a further one.
+    std::map<zone_name, std::vector<registered_instance>> usage_collectors;
     /// The other instances with which the own instance exchanges reports.
     std::vector<registered_instance> report_peers;
     /// The report peers that the own instance has to poll: they may know newer objects of the
--- a/src/routing/internal/server_exchange.cpp
+++ b/src/routing/internal/server_exchange.cpp
@@ -39,6 +39,7 @@
             if (!statement_sent_later) {
                 first_write.insert(first_write.end(), rest.begin(), rest.end());
                 m_statement_sent = true;
+                result.statement_sent = result.asked;
             }
             m_pool.mark_waiting(m_connection, steady_clock().now());
             m_answers_due = static_cast<int>(first_write.size());
@@ -52,6 +53,7 @@
             }
             if (statement_sent_later) {
                 m_statement_sent = true;
+                result.statement_sent = boot_clock().now();
                 m_answers_due += static_cast<int>(rest.size());
                 co_await m_connection.channel->send(std::move(rest), remaining());
             }
@@ -168,6 +170,20 @@
 
 } // namespace
 
+bool began_to_run(const exchange_result& result) {
+    if (result.status != exchange_status::answered) {
+        return result.status != exchange_status::not_run;
+    }
+    switch (result.answer.code) {
+    case answer_code::ok:
+    case answer_code::failed:
+    case answer_code::timed_out:
+        return true;
+    default:
+        return false;
+    }
+}
+
 asio::awaitable<exchange_result> exchange(server_pool& pool, pooled_connection& connection,
                                           exchange_plan plan, clock::duration limit) {
     exchange_run run(pool, connection, limit);
--- a/src/routing/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -31,11 +31,13 @@
 } // namespace
 
 service_traffic::service_traffic(asio::any_io_executor executor, server_connector& connector,
-                                 zone_name own_zone, fleet::primary_leasing leasing)
+                                 zone_name own_zone, fleet::primary_leasing leasing,
+                                 usage::run_counter* usage)
     : m_executor(std::move(executor)),
       m_connector(connector),
       m_own_zone(std::move(own_zone)),
-      m_leasing(leasing) {}
+      m_leasing(leasing),
+      m_usage(usage) {}
 
 void service_traffic::apply(const std::vector<fleet::usable_server>& servers) {
     std::map<server_name, pool_ptr> next;
@@ -91,6 +93,12 @@
     }
 }
 
+void service_traffic::record_run(const account_name& account, const exchange_result& result) {
+    if (m_usage != nullptr && began_to_run(result)) {
+        m_usage->count(account, result.statement_sent);
+    }
+}
+
 void service_traffic::refuse_waiting() {
     for (const auto& [id, pool] : m_pools) {
         pool->refuse_waiting();
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -190,6 +190,7 @@
         limit = std::min(limit, read_attempt_timeout);
     }
     auto result = co_await exchange(*pool, *grant.connection, plan_for(required, begins), limit);
+    m_service.record_run(m_run.account, result);
     if (!required && answered_without_lease(*pool, result)) {
         pool->discard(std::move(grant.connection));
         co_return with_server(refusal(answer_code::aborted), *pool, required);
@@ -260,6 +261,7 @@
     }
     auto result = co_await exchange(*pool, *grant.connection, std::move(plan),
                                     m_budget.deadline() - steady_clock().now());
+    m_service.record_run(m_run.account, result);
     if (answered_without_lease(*pool, result)) {
         // The statement may have run at a server that was no longer the primary.
         result.status = exchange_status::connection_lost;
--- a/src/routing/server_exchange.h
+++ b/src/routing/server_exchange.h
@@ -25,11 +25,16 @@
     exchange_status status = exchange_status::not_run;
     sessions::server_answer answer; ///< answer to the statement, or to the command that was refused
     clock::time_point asked{};      ///< boot clock's time before anything was sent
-    int answers_due = 0;            ///< answers that the server has yet to send on the connection
+    clock::time_point statement_sent{}; ///< boot clock's time at which the statement was sent
+    int answers_due = 0; ///< answers that the server has yet to send on the connection
 
     friend bool operator==(const exchange_result&, const exchange_result&) = default;
 };
 
+/// Returns whether the server began to run the statement, as far as this can be known: without an
+/// answer it is taken to have begun.
+[[nodiscard]] bool began_to_run(const exchange_result& result);
+
 /// A client's statement and the commands that are sent before and after it.
 struct exchange_plan {
     sessions::session_values values;
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -4,9 +4,11 @@
 
 #include "fleet/types/fleet_view.h"
 #include "fleet/types/primary_grant.h"
+#include "routing/server_exchange.h"
 #include "routing/server_pool.h"
 #include "routing/types/service_report.h"
 #include "sessions/position_proofs.h"
+#include "usage/run_counter.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -25,9 +27,12 @@
 /// positions. Not thread-safe.
 class service_traffic {
 public:
+    /// `usage` counts the operations that begin at the service's servers, unless it is null. It
+    /// must outlive this object.
     service_traffic(boost::asio::any_io_executor executor, server_connector& connector,
                     zone_name own_zone,
-                    fleet::primary_leasing leasing = fleet::primary_leasing::not_needed);
+                    fleet::primary_leasing leasing = fleet::primary_leasing::not_needed,
+                    usage::run_counter* usage = nullptr);
 
     /// Sets the servers that may be used; connections to all others are closed.
     void apply(const std::vector<fleet::usable_server>& servers);
@@ -74,6 +79,9 @@
     /// the primary.
     void record_not_leading(clock::time_point now);
 
+    /// Counts the statement for the usage reports if a server began to run it.
+    void record_run(const account_name& account, const exchange_result& result);
+
     /// Refuses the requests that wait for a connection.
     void refuse_waiting();
 
@@ -103,6 +111,7 @@
     server_connector& m_connector;
     zone_name m_own_zone;
     fleet::primary_leasing m_leasing;
+    usage::run_counter* m_usage;
     fleet::primary_grant m_lease;
     std::map<server_name, pool_ptr> m_pools;
     std::map<server_name, fleet::connection_quota> m_connection_quotas;
