--- a/src/entry/internal/usage_collector.cpp
+++ b/src/entry/internal/usage_collector.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace oriole::entry {
 namespace {
@@ -87,7 +89,7 @@
 }
 
 asio::awaitable<usage::gathered_counts> usage_collector::gather(std::int64_t window) {
-    auto state = std::make_shared<gathering>();
+    auto state = std::make_shared<gathering>(m_executor);
     state->window = window;
     state->observed = collects() && first_whole_window() <= window;
     if (collects()) {
@@ -97,9 +99,9 @@
         ++state->open_requests;
         asio::co_spawn(m_executor, ask(collector, state), asio::detached);
     }
-    constexpr clock::duration check_interval = 10ms;
-    while (state->open_requests > 0) {
-        co_await pause(m_executor, check_interval);
+    if (state->open_requests > 0) {
+        boost::system::error_code ignored;
+        co_await state->all_answered.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     usage::gathered_counts result;
     result.counts = m_ledger.sum(window);
@@ -234,7 +236,9 @@
     } catch (const std::exception&) {
         // The zone of a collector that does not answer is missing unless another one answers.
     }
-    --state->open_requests;
+    if (--state->open_requests == 0) {
+        state->all_answered.cancel();
+    }
 }
 
 asio::awaitable<void> usage_collector::announce(fleet::registered_instance collector) {
--- a/src/entry/internal/usage_collector.h
+++ b/src/entry/internal/usage_collector.h
@@ -13,8 +13,10 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -56,6 +58,10 @@
 
     /// What the collectors have answered to the requests of one gathering.
     struct gathering {
+        explicit gathering(const boost::asio::any_io_executor& executor)
+            : all_answered(executor, clock::time_point::max()) {}
+
+        boost::asio::steady_timer all_answered; ///< canceled after the last answer
         std::int64_t window = 0;
         std::size_t open_requests = 0;
         std::set<zone_name> zones; ///< zones of which a collector has answered
