Hand the run counter to the services; count operations instead of statements

Change: traffic_context passes the counter on. An operation counts when a server begins to run its first statement.

--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -173,7 +173,8 @@
 }
 
 traffic_context::service_entry::service_entry(traffic_context& context)
-    : traffic(context.m_executor, context.m_connector, context.m_own_zone, context.m_leasing),
+    : traffic(context.m_executor, context.m_connector, context.m_own_zone, context.m_leasing,
+              context.m_run_counter.get()),
       local(traffic),
       forwarding(context.m_link, local) {}
 
--- a/src/entry/tests/traffic_thread_test.cpp
+++ b/src/entry/tests/traffic_thread_test.cpp
@@ -91,6 +91,7 @@
     static entry_settings make_settings() {
         entry_settings settings;
         settings.gateway = endpoint("127.0.0.1", 0);
+        settings.usage = usage::usage_settings{5s, 10s, 3s};
         return settings;
     }
 
@@ -108,7 +109,9 @@
         primary.connections = {2, 2};
         auto view = std::make_shared<fleet::fleet_view>();
         view->config = config;
-        view->accounts_by_key = std::make_shared<fleet::key_index>();
+        view->accounts_by_key =
+            std::make_shared<fleet::key_index>(fleet::key_index{{"key", account_name("t")}});
+        view->shares[account_name("t")] = {1000, 1000};
         view->servers[service_name("db")] = {primary};
         return view;
     }
@@ -125,7 +128,14 @@
     recording_log m_log;
     metric_registry m_metrics;
     std::promise<std::vector<answer_code>> m_codes_at_end;
-    traffic_thread m_thread{make_settings(), m_platform, m_log, m_metrics, [](auto) {}};
+    std::uint64_t m_counted = 0; ///< written by the traffic thread
+    traffic_thread m_thread{make_settings(), m_platform, m_log, m_metrics,
+                            [this](const traffic_report& report) {
+                                for (const auto& runs : report.runs) {
+                                    EXPECT_EQ(runs.account, account_name("t"));
+                                    m_counted += runs.count;
+                                }
+                            }};
 };
 
 // Guards against a statement that is cut off because its connection was accepted while a stop,
@@ -134,5 +144,12 @@
     EXPECT_EQ(answers_at_the_end_of_a_stop(), std::vector{answer_code::ok});
 }
 
+// Guards against usage reports without the operations that an instance ran just before it stopped,
+// and against counts that never reach the control thread.
+TEST_F(traffic_thread_test, operations_before_the_end_of_a_stop_are_reported) {
+    static_cast<void>(answers_at_the_end_of_a_stop());
+    EXPECT_EQ(m_counted, 1U);
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/routing/internal/statement_runner.cpp
+++ b/src/routing/internal/statement_runner.cpp
@@ -83,7 +83,6 @@
     }
     auto result = co_await exchange(pool, *transaction.connection, std::move(plan),
                                     budget.deadline() - steady_clock().now());
-    service.record_run(run.account, result);
     const bool may_be_committed = commits && transaction.wrote;
     if (transaction.at_primary && (!commits || may_be_committed) &&
         result.status == exchange_status::answered && result.answer.code == answer_code::ok &&
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -79,7 +79,8 @@
     /// the primary.
     void record_not_leading(clock::time_point now);
 
-    /// Counts the statement for the usage reports if a server began to run it.
+    /// Counts an operation for the usage reports if a server began to run its first statement,
+    /// whose result is given.
     void record_run(const account_name& account, const exchange_result& result);
 
     /// Refuses the requests that wait for a connection.
--- a/src/routing/tests/statement_runner_test.cpp
+++ b/src/routing/tests/statement_runner_test.cpp
@@ -59,6 +59,17 @@
         m_service.add_peer_proof({boot_clock().now(), position});
     }
 
+    /// Operations of the account that were counted since the last call.
+    std::uint64_t counted() {
+        std::uint64_t count = 0;
+        for (const auto& runs : m_usage->take()) {
+            EXPECT_EQ(runs.account, account_name("t"));
+            EXPECT_LT(std::chrono::abs(boot_clock().now() - runs.began), 10s);
+            count += runs.count;
+        }
+        return count;
+    }
+
     bool received(const std::string& server, command_kind kind) {
         const auto& commands = m_servers.at(server).received;
         return std::any_of(commands.begin(), commands.end(),
@@ -68,7 +79,9 @@
     boost::asio::io_context m_io;
     fake_servers m_servers;
     fleet::route m_route;
-    service_traffic m_service{m_io.get_executor(), m_servers, zone_name("near")};
+    std::unique_ptr<usage::run_counter> m_usage = usage::make_run_counter();
+    service_traffic m_service{m_io.get_executor(), m_servers, zone_name("near"),
+                              fleet::primary_leasing::not_needed, m_usage.get()};
     statement_runner m_runner;
     std::unique_ptr<open_transaction> m_transaction;
 };
@@ -154,6 +167,31 @@
     EXPECT_EQ(outcome.answer.code, answer_code::aborted);
 }
 
+// Guards against usage reports that count the statements of a transaction one by one.
+TEST_F(statement_runner_test, transaction_counts_as_one_operation) {
+    ASSERT_EQ(run_first("WRITE a b", false, true).answer.code, answer_code::ok);
+    static_cast<void>(
+        run_coroutine(m_io, m_runner.run_next(m_service, make("WRITE c d", true), *m_transaction)));
+    static_cast<void>(
+        run_coroutine(m_io, m_runner.run_next(m_service, make("COMMIT"), *m_transaction)));
+    EXPECT_EQ(counted(), 1U);
+}
+
+// Guards against usage reports that count an attempt which the server refused without running it.
+TEST_F(statement_runner_test, refused_attempt_is_not_counted_but_its_retry_is) {
+    prove({1, 10});
+    m_servers.at("replica").position = {1, 3};
+    ASSERT_EQ(run_autocommit("READ a").answer.code, answer_code::ok);
+    EXPECT_EQ(counted(), 1U);
+}
+
+// Guards against usage reports that leave out operations whose answer was lost.
+TEST_F(statement_runner_test, operation_without_an_answer_is_counted) {
+    m_servers.at("primary").breaks_on = command_kind::caller_statement;
+    ASSERT_EQ(run_autocommit("WRITE a b", true).answer.code, answer_code::in_doubt);
+    EXPECT_EQ(counted(), 1U);
+}
+
 // Guards against returning a connection to the pool while its transaction is still open.
 TEST_F(statement_runner_test, rolled_back_transaction_returns_its_connection) {
     prove({1, 10});
