--- a/src/entry/internal/usage_message_codec.cpp
+++ b/src/entry/internal/usage_message_codec.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// Longest duration since an order that is read; longer ones are useless and might overflow.
-constexpr std::int64_t max_age_us = std::int64_t{24 * 3600} * 1'000'000;
+constexpr std::int64_t max_age_us = std::int64_t{24} * 3600 * 1'000'000;
 
 json encode_key(const usage::entry_key& key) {
     return {key.window, key.instance.str(), key.incarnation};
--- a/src/usage/tests/delivery_record_test.cpp
+++ b/src/usage/tests/delivery_record_test.cpp
@@ -16,7 +16,7 @@
 
     /// Sends what is not acknowledged, and returns it.
     std::vector<ledger_entry> deliver() {
-        const auto sent = m_record.unacknowledged(m_own.entries({m_key}));
+        auto sent = m_record.unacknowledged(m_own.entries({m_key}));
         counts_receipt receipt;
         for (const auto& entry : sent) {
             receipt.totals[entry.key] = m_collector.merge(entry);
--- a/src/usage/tests/killed_share_test.cpp
+++ b/src/usage/tests/killed_share_test.cpp
@@ -192,10 +192,8 @@
     }
 
     std::vector<double> lost_shares(double share) {
-        std::vector<double> result;
-        for (int run = 0; run < 100; ++run) {
-            result.push_back(lost_share(share));
-        }
+        std::vector<double> result(100);
+        std::generate(result.begin(), result.end(), [this, share] { return lost_share(share); });
         std::sort(result.begin(), result.end());
         return result;
     }
