--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -54,6 +54,7 @@
       m_log(log),
       m_metrics(metrics),
       m_statement_latency(metrics, "oriole_statement_latency"),
+      m_run_counter(settings.usage ? usage::make_run_counter() : nullptr),
       m_view(std::make_shared<const fleet::fleet_view>()),
       m_link(m_executor, log, metrics),
       m_limiter(contracts::contracts_module::make_rate_limiter()) {}
@@ -184,7 +185,8 @@
 }
 
 traffic_context::service_entry::service_entry(traffic_context& context)
-    : traffic(context.m_executor, context.m_connector, context.m_own_zone, context.m_leasing),
+    : traffic(context.m_executor, context.m_connector, context.m_own_zone, context.m_leasing,
+              context.m_run_counter.get()),
       local(traffic),
       forwarding(context.m_link, local) {}
 
@@ -233,6 +235,9 @@
     for (auto& [account, admissions] : m_advance_admissions) {
         admissions.end_interval();
     }
+    if (m_run_counter != nullptr) {
+        report.runs = m_run_counter->take();
+    }
     return report;
 }
 
