Let statements wait for half of their target where a queue refuses at once

The log distinguishes statements without a slot (form=slots) and without a connection (form=connections). Waiting for a slot is a function of its own.

Tests of the router: refused statements come back within the retry budget only, statements that cannot start in time are not sent, and a refused statement is repeated as before where nothing is scheduled.

--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -126,7 +126,7 @@
 }
 
 asio::awaitable<pool_grant> server_pool::acquire_scheduled(account_name account,
-                                                           sessions::session_values values,
+                                                           const sessions::session_values& values,
                                                            clock::time_point deadline,
                                                            int priority) {
     const auto now = steady_clock().now();
@@ -135,33 +135,19 @@
         m_schedule->start(priority, now);
         grant = co_await connect(std::move(account), values, deadline);
     } else {
-        const auto ticket = m_schedule->enqueue({account, priority, deadline}, now);
-        refuse_slot_waiters(m_schedule->take_refused(now));
-        if (!ticket) {
-            grant.refusal = answer_code::busy;
-            grant.overloaded = true;
-            co_return grant;
-        }
-        const auto own = std::make_shared<slot_waiter>(m_executor, account, std::move(values));
-        m_slot_waiters.emplace(*ticket, own);
-        start_waiting();
-        while (!own->decided) {
-            own->timer.expires_at(deadline);
-            boost::system::error_code ignored;
-            co_await own->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-            refuse_slot_waiters(m_schedule->take_refused(steady_clock().now()));
-        }
-        if (own->refused) {
+        scheduling::statement_claim claim{account, priority, deadline};
+        const auto slot = co_await wait_for_slot(std::move(claim), values);
+        if (slot == nullptr) {
             grant.refusal = answer_code::busy;
             grant.overloaded = true;
             co_return grant;
         }
-        if (own->connection) {
-            grant.connection = std::move(own->connection);
-        } else if (own->may_open) {
+        if (slot->connection) {
+            grant.connection = std::move(slot->connection);
+        } else if (slot->may_open) {
             grant = co_await open(std::move(account));
         } else {
-            grant = co_await connect(std::move(account), own->values, deadline);
+            grant = co_await connect(std::move(account), values, deadline);
         }
     }
     if (grant.connection) {
@@ -175,6 +161,27 @@
     co_return grant;
 }
 
+asio::awaitable<std::shared_ptr<server_pool::slot_waiter>>
+server_pool::wait_for_slot(scheduling::statement_claim claim,
+                           const sessions::session_values& values) {
+    const auto now = steady_clock().now();
+    const auto ticket = m_schedule->enqueue(claim, now);
+    refuse_slot_waiters(m_schedule->take_refused(now));
+    if (!ticket) {
+        co_return nullptr;
+    }
+    auto own = std::make_shared<slot_waiter>(m_executor, claim.account, values);
+    m_slot_waiters.emplace(*ticket, own);
+    start_waiting();
+    while (!own->decided) {
+        own->timer.expires_at(claim.latest_start);
+        boost::system::error_code ignored;
+        co_await own->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        refuse_slot_waiters(m_schedule->take_refused(steady_clock().now()));
+    }
+    co_return own->refused ? nullptr : own;
+}
+
 void server_pool::begin_statement(pooled_connection& connection, int priority) {
     if (m_scheduled && !connection.slot_priority) {
         m_schedule->start(priority, steady_clock().now());
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -157,8 +157,9 @@
 }
 
 asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool) {
-    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline(),
-                                        m_run.route->priority);
+    const auto deadline = pool->scheduled() ? m_budget.latest_start() : m_budget.wait_deadline();
+    auto grant =
+        co_await pool->acquire(m_run.account, m_run.values, deadline, m_run.route->priority);
     m_refused_here = m_refused_here || grant.overloaded;
     co_return grant;
 }
@@ -193,7 +194,7 @@
     const bool begins = transaction != nullptr;
     auto grant = co_await acquire(pool);
     if (!grant.connection) {
-        co_return with_server(refusal(grant.refusal), *pool, required);
+        co_return without_connection(grant, *pool, required);
     }
     if (!m_run.handover->hand_over()) {
         pool->release(std::move(grant.connection));
@@ -259,7 +260,7 @@
 statement_router::try_primary(pool_ptr pool, std::unique_ptr<open_transaction>* transaction) {
     auto grant = co_await acquire(pool);
     if (!grant.connection) {
-        co_return with_server(refusal(grant.refusal), *pool, std::nullopt);
+        co_return without_connection(grant, *pool, std::nullopt);
     }
     if (!m_run.handover->hand_over()) {
         pool->release(std::move(grant.connection));
@@ -357,6 +358,14 @@
     }
 }
 
+run_outcome
+statement_router::without_connection(const pool_grant& grant, const server_pool& pool,
+                                     const std::optional<machines::log_position>& required) {
+    auto outcome = with_server(refusal(grant.refusal), pool, required);
+    outcome.routing_basis = grant.overloaded ? "slots" : "connections";
+    return outcome;
+}
+
 run_outcome statement_router::with_server(run_outcome outcome, const server_pool& pool,
                                           const std::optional<machines::log_position>& required) {
     outcome.server = pool.server().id;
--- a/src/routing/internal/statement_router.h
+++ b/src/routing/internal/statement_router.h
@@ -88,6 +88,11 @@
     void record_answer(server_pool& pool, const exchange_result& result,
                        const std::optional<machines::log_position>& required, bool proves);
 
+    /// The outcome of an attempt that got no connection, so that nothing was sent.
+    [[nodiscard]] run_outcome
+    without_connection(const pool_grant& grant, const server_pool& pool,
+                       const std::optional<machines::log_position>& required);
+
     [[nodiscard]] run_outcome with_server(run_outcome outcome, const server_pool& pool,
                                           const std::optional<machines::log_position>& required);
 
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -73,6 +73,9 @@
     /// server's slots is not known. When this ends, the waiting requests are refused.
     void set_scheduled(bool scheduled);
 
+    /// Whether requests are granted by priority.
+    [[nodiscard]] bool scheduled() const noexcept { return m_scheduled; }
+
     /// Returns a connection for the account, preferably one on which `values` are already set.
     /// Waits until `deadline` at most. When requests are scheduled, the connection comes with an
     /// execution slot, which is occupied until end_statement().
@@ -155,8 +158,11 @@
     [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
                                                           clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<pool_grant>
-    acquire_scheduled(account_name account, sessions::session_values values,
+    acquire_scheduled(account_name account, const sessions::session_values& values,
                       clock::time_point deadline, int priority);
+    /// Waits for a slot. Returns null when the request is refused.
+    [[nodiscard]] boost::asio::awaitable<std::shared_ptr<slot_waiter>>
+    wait_for_slot(scheduling::statement_claim claim, const sessions::session_values& values);
     /// Returns a connection for a request that was given a slot.
     [[nodiscard]] boost::asio::awaitable<pool_grant> connect(account_name account,
                                                              const sessions::session_values& values,
--- a/src/routing/tests/statement_runner_test.cpp
+++ b/src/routing/tests/statement_runner_test.cpp
@@ -35,7 +35,7 @@
         statement_run run;
         run.route = &m_route;
         run.account = account_name("t");
-        run.statement.id = "1";
+        run.statement.id = std::string("1");
         run.statement.text = text;
         run.statement.kind = text == "COMMIT" ? sessions::statement_kind::commit
                              : writes         ? sessions::statement_kind::write
@@ -194,6 +194,62 @@
     EXPECT_EQ(outcome.server, server_name("primary"));
 }
 
+// Guards against a single attempt where statements are not scheduled.
+TEST_F(statement_runner_test, refused_statement_is_repeated_while_there_is_time) {
+    m_servers.at("primary").busy_statements = 2;
+    const auto outcome = run_autocommit("WRITE a b", true);
+    EXPECT_EQ(outcome.answer.code, answer_code::ok);
+    EXPECT_EQ(outcome.attempts, 3);
+}
+
+/// The same with routes that differ in priority, at a primary that executes one statement at a
+/// time.
+class scheduled_statement_runner_test : public statement_runner_test {
+protected:
+    scheduled_statement_runner_test() {
+        std::vector<fleet::usable_server> usable(1);
+        usable[0].listed = fake_listed("primary", "near");
+        usable[0].listed.slots = 1;
+        usable[0].primary = true;
+        usable[0].connections = {10, 10};
+        m_service.set_prioritized(true);
+        m_service.apply(usable);
+    }
+};
+
+// Load: a server refuses everything. Guards against refused statements that come back as more load.
+TEST_F(scheduled_statement_runner_test, refused_statements_come_back_only_within_the_retry_budget) {
+    constexpr int statements = 60;
+    m_servers.at("primary").busy_statements = 1000;
+    for (int i = 0; i < statements; ++i) {
+        EXPECT_EQ(run_autocommit("WRITE a b", true).answer.code, answer_code::busy);
+    }
+    const int sent = 1000 - m_servers.at("primary").busy_statements;
+    EXPECT_LE(sent, statements + statements / 10 + 10);
+    EXPECT_GT(sent, statements);
+}
+
+// Load: more statements at once than start in time. Guards against one that is refused although
+// it was sent, or that waits for its connection beyond its time.
+TEST_F(scheduled_statement_runner_test, statements_that_cannot_start_in_time_are_not_sent) {
+    constexpr int statements = 12;
+    m_servers.at("primary").answer_delay = 60ms;
+    int served = 0;
+    int refused = 0;
+    for (int i = 0; i < statements; ++i) {
+        boost::asio::co_spawn(m_io, m_runner.run_autocommit(m_service, make("WRITE a b", true)),
+                              [&](const std::exception_ptr&, const run_outcome& outcome) {
+                                  served += outcome.answer.code == answer_code::ok ? 1 : 0;
+                                  refused += outcome.routing_basis == "slots" ? 1 : 0;
+                              });
+    }
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(served + refused, statements);
+    EXPECT_GT(refused, 0);
+    EXPECT_EQ(m_servers.at("primary").statements, served);
+}
+
 /// The same with leases on the primary, as on platforms where a replaced primary keeps accepting
 /// writes.
 class leased_statement_runner_test : public statement_runner_test {
--- a/src/scheduling/internal/execution_times.cpp
+++ b/src/scheduling/internal/execution_times.cpp
@@ -5,9 +5,9 @@
 namespace oriole::scheduling {
 namespace {
 
-constexpr double smoothing_factor = 0.1;
+constexpr double smoothing_factor = 0.05;
 /// Multiple of the lowest smoothed time from which statements count as slowed by queueing.
-constexpr double slow_down_threshold = 2.5;
+constexpr double slow_down_threshold = 2.0;
 /// The smoothed time means little before this number of statements.
 constexpr int min_samples = 20;
 /// The lowest time is taken over one to two windows, so that a server that has become permanently
