Answer refused statements at once, and leave servers that fall silent

`co_return wait && co_await ...` with an optional on the left runs the right side in any case under GCC 12 (shown with a program of ten lines), so that a statement without a retry still waited, for an indeterminate time. A statement that timed out kept its slot until its answer, so a server that came back after a cut found all of its slots taken, and those that waited for a failing server went nowhere else.

A statement now leaves its slot when it times out. The queue of a server that counts as failing is refused, and its statements may try another server; a statement is answered at once only if each attempt was refused by a queue.

New tests: a refused statement without a retry is answered without waiting (seen to fail with a wait planted; the compiler's fault itself reads an indeterminate value and fails it only at times), and waiting statements leave a silent server (seen to fail without the refusal). routing (46) passes.

--- a/src/routing/internal/server_exchange.cpp
+++ b/src/routing/internal/server_exchange.cpp
@@ -180,10 +180,7 @@
                                           exchange_plan plan, clock::duration limit) {
     exchange_run run(pool, connection, limit);
     auto result = co_await run.run(std::move(plan));
-    if (result.status != exchange_status::timed_out) {
-        // A server that did not answer in time may still be executing the statement.
-        pool.end_statement(connection, end_of(result));
-    }
+    pool.end_statement(connection, end_of(result));
     co_return result;
 }
 
--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -84,7 +84,7 @@
     } else if (m_scheduled) {
         m_schedule->set_slots(m_server.slots);
     } else if (was_scheduled) {
-        refuse_slot_waiters(m_schedule->clear(steady_clock().now()));
+        refuse_all_slot_waiters();
     }
 }
 
@@ -139,7 +139,7 @@
         const auto slot = co_await wait_for_slot(std::move(claim), values);
         if (slot == nullptr) {
             grant.refusal = answer_code::busy;
-            grant.overloaded = true;
+            grant.overloaded = !m_failing_since;
             co_return grant;
         }
         if (slot->connection) {
@@ -365,6 +365,8 @@
         m_failing_since = *connection.waiting_since;
     }
     m_retry_at = now + retry_interval;
+    // Other servers may serve those that wait for a slot in time.
+    refuse_all_slot_waiters();
 }
 
 void server_pool::mark_failed(clock::time_point now) {
@@ -372,6 +374,7 @@
         m_failing_since = now;
     }
     m_retry_at = now + retry_interval;
+    refuse_all_slot_waiters();
 }
 
 fleet::primary_evidence server_pool::evidence(clock::time_point now) const {
@@ -435,6 +438,10 @@
         waiter->timer.cancel();
     }
     m_waiters.clear();
+    refuse_all_slot_waiters();
+}
+
+void server_pool::refuse_all_slot_waiters() {
     if (m_schedule != nullptr) {
         refuse_slot_waiters(m_schedule->clear(steady_clock().now()));
     }
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -144,13 +144,17 @@
 
 asio::awaitable<bool> statement_router::pause() {
     const bool refused_by_server = std::exchange(m_refused_by_server, false);
-    const bool refused_here = std::exchange(m_refused_here, false);
+    const int attempts = m_attempts - std::exchange(m_attempts_before_pause, m_attempts);
+    const bool always_refused_here = std::exchange(m_refused_here, 0) == attempts && attempts > 0;
     if (refused_by_server && m_service.prioritized()) {
         const auto wait = m_service.retries().pause_before_retry(
             m_run.account, m_retries++, steady_clock().now(), m_budget.wait_deadline());
-        co_return wait&& co_await wait_for_primary(*wait);
+        if (!wait) {
+            co_return false;
+        }
+        co_return co_await wait_for_primary(*wait);
     }
-    if (refused_here) {
+    if (always_refused_here) {
         co_return false;
     }
     co_return co_await wait_for_primary(retry_pause);
@@ -160,7 +164,7 @@
     const auto deadline = pool->scheduled() ? m_budget.latest_start() : m_budget.wait_deadline();
     auto grant =
         co_await pool->acquire(m_run.account, m_run.values, deadline, m_run.route->priority);
-    m_refused_here = m_refused_here || grant.overloaded;
+    m_refused_here += grant.overloaded ? 1 : 0;
     co_return grant;
 }
 
--- a/src/routing/internal/statement_router.h
+++ b/src/routing/internal/statement_router.h
@@ -103,7 +103,8 @@
     std::optional<run_outcome> m_last_outcome;
     int m_attempts = 0;
     bool m_refused_by_server = false; ///< a server had too much work, since the last pause
-    bool m_refused_here = false; ///< the statement could not start in time, since the last pause
+    int m_refused_here = 0; ///< attempts that could not start in time, since the last pause
+    int m_attempts_before_pause = 0;
     std::uint32_t m_retries = 0; ///< after refusals by servers
 };
 
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -44,7 +44,7 @@
     std::unique_ptr<pooled_connection> connection;
     sessions::answer_code refusal = sessions::answer_code::ok;
     bool opened = false; ///< the connection was opened for this request
-    /// Refused by this instance: the statement could not start in time at the server.
+    /// Refused by this instance: the server answers, but the statement could not start in time.
     bool overloaded = false;
 };
 
@@ -114,10 +114,11 @@
 
     /// Records that a statement ended without an answer on the connection. Closes the connections
     /// that have been idle since before the statement. The server counts as failing if it has not
-    /// answered any other connection meanwhile.
+    /// answered any other connection meanwhile; requests that wait for a slot are refused then.
     void mark_timed_out(const pooled_connection& connection, clock::time_point now);
 
-    /// Records that the server could not be reached or its connection broke.
+    /// Records that the server could not be reached or its connection broke. Refuses the requests
+    /// that wait for a slot.
     void mark_failed(clock::time_point now);
 
     /// Returns the age of the server's last answer and for how long the server has been failing.
@@ -175,6 +176,7 @@
     void release_slot(pooled_connection& connection, scheduling::statement_end end);
     /// Gives slots and connections to waiting requests, as far as there are any.
     void start_waiting();
+    void refuse_all_slot_waiters();
     void refuse_slot_waiters(const std::vector<contracts::admission_ticket>& tickets);
     /// Confirms the connection in the background, then returns it to the pool or closes it.
     void release_after_confirmation(std::unique_ptr<pooled_connection> connection);
--- a/src/routing/tests/server_pool_test.cpp
+++ b/src/routing/tests/server_pool_test.cpp
@@ -200,6 +200,23 @@
     EXPECT_TRUE(m_grants.at("second").connection);
 }
 
+// Failure: the server falls silent. Guards against statements that wait for it although other
+// servers may serve them, and against slots that stay occupied when it is back.
+TEST_F(scheduled_server_pool_test, waiting_statements_leave_a_server_that_falls_silent) {
+    request("first", "a", 1);
+    request("second", "a", 1);
+    request("third", "a", 1);
+    auto& silent = *m_grants.at("first").connection;
+    m_pool->mark_waiting(silent, steady_clock().now());
+    m_pool->mark_timed_out(silent, steady_clock().now());
+    m_pool->end_statement(silent, scheduling::statement_end::unknown);
+    run_ready();
+    ASSERT_TRUE(m_grants.contains("third"));
+    EXPECT_FALSE(m_grants.at("third").overloaded);
+    request("probe", "a", 1);
+    EXPECT_TRUE(m_grants.contains("probe"));
+}
+
 // Guards against a bound where the number of slots is not known.
 TEST_F(scheduled_server_pool_test, statements_do_not_wait_for_slots_that_are_not_known) {
     m_pool->set_server(fake_listed("s", "z"));
--- a/src/routing/tests/statement_runner_test.cpp
+++ b/src/routing/tests/statement_runner_test.cpp
@@ -229,6 +229,22 @@
     EXPECT_GT(sent, statements);
 }
 
+// Guards against a statement that waits although it is not sent again.
+TEST_F(scheduled_statement_runner_test, refused_statement_without_a_retry_is_answered_at_once) {
+    m_servers.at("primary").busy_statements = 1000;
+    int attempts = 0;
+    do {
+        attempts = run_autocommit("WRITE a b", true).attempts;
+    } while (attempts > 1);
+    std::optional<answer_code> code;
+    boost::asio::co_spawn(
+        m_io, m_runner.run_autocommit(m_service, make("WRITE a b", true)),
+        [&](const std::exception_ptr&, const run_outcome& outcome) { code = outcome.answer.code; });
+    m_io.restart();
+    m_io.poll(); // does not wait for timers
+    EXPECT_EQ(code, answer_code::busy);
+}
+
 // Load: more statements at once than start in time. Guards against one that is refused although
 // it was sent, or that waits for its connection beyond its time.
 TEST_F(scheduled_statement_runner_test, statements_that_cannot_start_in_time_are_not_sent) {
