--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -149,22 +149,27 @@
 
 asio::awaitable<bool> statement_router::pause() {
     const bool refused_by_server = std::exchange(m_refused_by_server, false);
-    const bool refused_here = std::exchange(m_refused_here, false);
+    const int attempts = m_attempts - std::exchange(m_attempts_before_pause, m_attempts);
+    const bool always_refused_here = std::exchange(m_refused_here, 0) == attempts && attempts > 0;
     if (refused_by_server && m_service.prioritized()) {
         const auto wait = m_service.retries().pause_before_retry(
             m_run.account, m_retries++, steady_clock().now(), m_budget.wait_deadline());
-        co_return wait&& co_await wait_for_primary(*wait);
+        if (!wait) {
+            co_return false;
+        }
+        co_return co_await wait_for_primary(*wait);
     }
-    if (refused_here) {
+    if (always_refused_here) {
         co_return false;
     }
     co_return co_await wait_for_primary(retry_pause);
 }
 
 asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool) {
-    auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline(),
-                                        m_run.route->priority);
-    m_refused_here = m_refused_here || grant.overloaded;
+    const auto deadline = pool->scheduled() ? m_budget.latest_start() : m_budget.wait_deadline();
+    auto grant =
+        co_await pool->acquire(m_run.account, m_run.values, deadline, m_run.route->priority);
+    m_refused_here += grant.overloaded ? 1 : 0;
     if (grant.connection && grant.opened) {
         m_service.record_open(grant.opening, steady_clock().now());
     }
@@ -201,7 +206,7 @@
     const bool begins = transaction != nullptr;
     auto grant = co_await acquire(pool);
     if (!grant.connection) {
-        co_return with_server(refusal(grant.refusal), *pool, required);
+        co_return without_connection(grant, *pool, required);
     }
     if (!m_run.handover->hand_over()) {
         pool->release(std::move(grant.connection));
@@ -271,7 +276,7 @@
 statement_router::try_primary(pool_ptr pool, std::unique_ptr<open_transaction>* transaction) {
     auto grant = co_await acquire(pool);
     if (!grant.connection) {
-        co_return with_server(refusal(grant.refusal), *pool, std::nullopt);
+        co_return without_connection(grant, *pool, std::nullopt);
     }
     if (!m_run.handover->hand_over()) {
         pool->release(std::move(grant.connection));
@@ -370,6 +375,14 @@
     }
 }
 
+run_outcome
+statement_router::without_connection(const pool_grant& grant, const server_pool& pool,
+                                     const std::optional<machines::log_position>& required) {
+    auto outcome = with_server(refusal(grant.refusal), pool, required);
+    outcome.routing_basis = grant.overloaded ? "slots" : "connections";
+    return outcome;
+}
+
 run_outcome statement_router::with_server(run_outcome outcome, const server_pool& pool,
                                           const std::optional<machines::log_position>& required) {
     outcome.server = pool.server().id;
--- a/src/routing/internal/statement_router.h
+++ b/src/routing/internal/statement_router.h
@@ -92,6 +92,11 @@
     void record_answer(server_pool& pool, const exchange_result& result,
                        const std::optional<machines::log_position>& required, bool proves);
 
+    /// The outcome of an attempt that got no connection, so that nothing was sent.
+    [[nodiscard]] run_outcome
+    without_connection(const pool_grant& grant, const server_pool& pool,
+                       const std::optional<machines::log_position>& required);
+
     [[nodiscard]] run_outcome with_server(run_outcome outcome, const server_pool& pool,
                                           const std::optional<machines::log_position>& required);
 
@@ -102,7 +107,8 @@
     std::optional<run_outcome> m_last_outcome;
     int m_attempts = 0;
     bool m_refused_by_server = false; ///< a server had too much work, since the last pause
-    bool m_refused_here = false;  ///< the statement could not start in time, since the last pause
+    int m_refused_here = 0; ///< attempts that could not start in time, since the last pause
+    int m_attempts_before_pause = 0;
     std::uint32_t m_retries = 0;  ///< after refusals by servers
     bool m_failed_before = false; ///< a server ran the statement and failed it
 };
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -45,7 +45,7 @@
     sessions::answer_code refusal = sessions::answer_code::ok;
     bool opened = false;       ///< the connection was opened for this request
     clock::duration opening{}; ///< time that opening it took
-    /// Refused by this instance: the statement could not start in time at the server.
+    /// Refused by this instance: the server answers, but the statement could not start in time.
     bool overloaded = false;
 };
 
@@ -74,6 +74,9 @@
     /// server's slots is not known. When this ends, the waiting requests are refused.
     void set_scheduled(bool scheduled);
 
+    /// Whether requests are granted by priority.
+    [[nodiscard]] bool scheduled() const noexcept { return m_scheduled; }
+
     /// Returns a connection for the account, preferably one on which `values` are already set.
     /// Waits until `deadline` at most. When requests are scheduled, the connection comes with an
     /// execution slot, which is occupied until end_statement().
@@ -112,10 +115,11 @@
 
     /// Records that a statement ended without an answer on the connection. Closes the connections
     /// that have been idle since before the statement. The server counts as failing if it has not
-    /// answered any other connection meanwhile.
+    /// answered any other connection meanwhile; requests that wait for a slot are refused then.
     void mark_timed_out(const pooled_connection& connection, clock::time_point now);
 
-    /// Records that the server could not be reached or its connection broke.
+    /// Records that the server could not be reached or its connection broke. Refuses the requests
+    /// that wait for a slot.
     void mark_failed(clock::time_point now);
 
     /// Returns the age of the server's last answer and for how long the server has been failing.
@@ -164,8 +168,11 @@
     [[nodiscard]] boost::asio::awaitable<pool_grant> wait(account_name account,
                                                           clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<pool_grant>
-    acquire_scheduled(account_name account, sessions::session_values values,
+    acquire_scheduled(account_name account, const sessions::session_values& values,
                       clock::time_point deadline, int priority);
+    /// Waits for a slot. Returns null when the request is refused.
+    [[nodiscard]] boost::asio::awaitable<std::shared_ptr<slot_waiter>>
+    wait_for_slot(scheduling::statement_claim claim, const sessions::session_values& values);
     /// Returns a connection for a request that was given a slot.
     [[nodiscard]] boost::asio::awaitable<pool_grant> connect(account_name account,
                                                              const sessions::session_values& values,
@@ -178,6 +185,7 @@
     void release_slot(pooled_connection& connection, scheduling::statement_end end);
     /// Gives slots and connections to waiting requests, as far as there are any.
     void start_waiting();
+    void refuse_all_slot_waiters();
     void refuse_slot_waiters(const std::vector<contracts::admission_ticket>& tickets);
     /// Confirms the connection in the background, then returns it to the pool or closes it.
     void release_after_confirmation(std::unique_ptr<pooled_connection> connection);
