Give each type of the scheduling module its own file

The house style has one class per file. The time of opening a connection is taken where it is opened, without the wait for a place before it.

--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -338,12 +338,15 @@
     auto connection = std::make_unique<pooled_connection>();
     connection->channel = m_connector.make_channel(m_executor);
     connection->account = account;
-    mark_waiting(*connection, steady_clock().now());
+    const auto asked = steady_clock().now();
+    mark_waiting(*connection, asked);
     try {
         connection_request request{m_server.address, m_server.service, account, m_server.id};
         const auto answer = co_await connection->channel->open(std::move(request), open_limit);
-        mark_answered(*connection, steady_clock().now());
+        const auto now = steady_clock().now();
+        mark_answered(*connection, now);
         if (answer.code == answer_code::ok) {
+            grant.open_time = now - asked;
             grant.connection = std::move(connection);
             co_return grant;
         }
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -148,11 +148,9 @@
 }
 
 asio::awaitable<pool_grant> statement_router::acquire(const pool_ptr& pool) {
-    const auto asked = steady_clock().now();
     auto grant = co_await pool->acquire(m_run.account, m_run.values, m_budget.wait_deadline());
     if (grant.connection && grant.opened) {
-        const auto now = steady_clock().now();
-        m_service.record_open(now - asked, now);
+        m_service.record_open(grant.open_time, steady_clock().now());
     }
     co_return grant;
 }
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -37,7 +37,8 @@
 struct pool_grant {
     std::unique_ptr<pooled_connection> connection;
     sessions::answer_code refusal = sessions::answer_code::ok;
-    bool opened = false; ///< the connection was opened for this request
+    bool opened = false;         ///< the connection was opened for this request
+    clock::duration open_time{}; ///< how long opening it took
 };
 
 /// This instance's connections to one server, limited to the instance's share of the server's
@@ -109,7 +110,7 @@
 
     /// Commands that the server has yet to answer, and requests that wait for a connection to it.
     [[nodiscard]] int outstanding() const noexcept {
-        return static_cast<int>(m_unanswered_since.size() + m_waiters.size());
+        return static_cast<int>(m_unanswered_since.size() + waiting());
     }
 
     /// Closes connections that have been idle for longer than unused_connection_lifetime, so that
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -70,7 +70,7 @@
     void record_read(const server_pool& server, const exchange_result& result,
                      const fleet::route& route, bool begins, clock::time_point now);
 
-    /// Records the time from the request for a connection, which was opened for it, to the grant.
+    /// Records how long opening a connection to one of the servers took.
     void record_open(clock::duration elapsed, clock::time_point now);
 
     /// The number of servers.
--- a/src/scheduling/read_balancer.h
+++ b/src/scheduling/read_balancer.h
@@ -6,12 +6,17 @@
 #include "scheduling/server_choice.h"
 #include "scheduling/server_health.h"
 #include "scheduling/server_load.h"
+#include "scheduling/types/health_change.h"
+#include "scheduling/types/read_request.h"
+#include "scheduling/types/read_result.h"
+#include "scheduling/types/read_share.h"
 #include "scheduling/types/reader.h"
+#include "scheduling/usual_times.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace oriole::scheduling {
@@ -22,7 +27,8 @@
 public:
     explicit read_balancer(std::unique_ptr<random_source> random = make_random_source());
 
-    /// Precondition: neither is null, and `choice` uses no other source than `random`.
+    /// Precondition: neither is null, and what `choice` refers to outlives the object, as `random`
+    /// does.
     read_balancer(std::unique_ptr<random_source> random, std::unique_ptr<server_choice> choice);
 
     /// Returns the server for a read; empty when there are no servers. `zones` is the number of
--- a/src/scheduling/server_health.h
+++ b/src/scheduling/server_health.h
@@ -4,17 +4,12 @@
 #include "base/random_source.h"
 #include "machines/circuit_breaker.h"
 #include "machines/slow_start.h"
+#include "scheduling/types/ejection_reason.h"
 
 #include <memory>
-#include <string_view>
 
 namespace oriole::scheduling {
 
-/// Why a server was ejected, for logs.
-enum class ejection_reason { none, failures, slow };
-
-[[nodiscard]] std::string_view to_string(ejection_reason reason) noexcept;
-
 /// Judges one server by the share of its statements that fail or are far too slow, whatever its
 /// health checks say. An ejected server gets one probe at a time, and after several good ones a
 /// share of its work that grows. Not thread-safe.
--- a/src/scheduling/server_load.h
+++ b/src/scheduling/server_load.h
@@ -3,32 +3,10 @@
 #include "base/clock.h"
 #include "scheduling/types/server_work.h"
 
-#include <map>
 #include <optional>
-#include <string>
 
 namespace oriole::scheduling {
 
-/// The usual time of a service's statements by kind, over all of its servers. It follows slowly, so
-/// that a server's slowdown shows against it. Not thread-safe.
-class usual_times {
-public:
-    /// Records the time of one served statement.
-    void record(const std::string& kind, clock::duration elapsed, clock::time_point now);
-
-    /// Returns the usual time of the kind; 0 before the first statement.
-    [[nodiscard]] clock::duration of(const std::string& kind) const;
-
-private:
-    struct estimate {
-        double seconds = 0;
-        int samples = 0;
-        clock::time_point updated{};
-    };
-
-    std::map<std::string, estimate> m_estimates;
-};
-
 /// What a server's answers show about its load, which includes the work that other instances send
 /// there. Without answers the estimates fade, so that a server that was avoided is tried again. Not
 /// thread-safe.
--- a/src/scheduling/tests/server_load_test.cpp
+++ b/src/scheduling/tests/server_load_test.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/server_load.h"
+#include "scheduling/usual_times.h"
 
 #include <gtest/gtest.h>
 
--- a/src/scheduling/types/reader.h
+++ b/src/scheduling/types/reader.h
@@ -1,12 +1,6 @@
 #pragma once
 
-#include "base/clock.h"
 #include "base/types/name.h"
-#include "scheduling/server_health.h"
-#include "scheduling/types/server_work.h"
-
-#include <cstdint>
-#include <string>
 
 namespace oriole::scheduling {
 
@@ -25,41 +19,4 @@
     friend bool operator==(const reader&, const reader&) = default;
 };
 
-/// What a read needs.
-struct read_request {
-    std::string kind; ///< reads of one kind take similar times; the name of the route's database
-    clock::duration latency_target{};
-
-    friend bool operator==(const read_request&, const read_request&) = default;
-};
-
-/// How a read ended at a server.
-struct read_result {
-    std::string kind;
-    attempt_result result = attempt_result::served;
-    /// Time from sending the read to its answer; 0 when it is not comparable with that of others.
-    clock::duration elapsed{};
-    reader at; ///< the server, as known when the read ended
-
-    friend bool operator==(const read_result&, const read_result&) = default;
-};
-
-/// A server was ejected or taken back.
-struct health_change {
-    server_name server;
-    bool ejected = false;
-    ejection_reason reason = ejection_reason::none; ///< of the ejection
-
-    friend bool operator==(const health_change&, const health_change&) = default;
-};
-
-/// Reads that one server received from this gateway.
-struct read_share {
-    server_name server;
-    std::int64_t reads = 0;
-    bool ejected = false;
-
-    friend bool operator==(const read_share&, const read_share&) = default;
-};
-
 } // namespace oriole::scheduling
--- a/src/scheduling/types/server_work.h
+++ b/src/scheduling/types/server_work.h
@@ -13,11 +13,4 @@
     friend bool operator==(const server_work&, const server_work&) = default;
 };
 
-/// How a server answered a statement.
-enum class attempt_result {
-    served,
-    refused, ///< as busy, without running the statement
-    failed   ///< an error of the server, or no answer
-};
-
 } // namespace oriole::scheduling
