--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -166,12 +166,14 @@
                            const sessions::session_values& values) {
     const auto now = steady_clock().now();
     const auto ticket = m_schedule->enqueue(claim, now);
+    auto own = std::make_shared<slot_waiter>(m_executor, claim.account, values);
+    if (ticket) {
+        m_slot_waiters.emplace(*ticket, own);
+    }
     refuse_slot_waiters(m_schedule->take_refused(now));
     if (!ticket) {
         co_return nullptr;
     }
-    auto own = std::make_shared<slot_waiter>(m_executor, claim.account, values);
-    m_slot_waiters.emplace(*ticket, own);
     start_waiting();
     while (!own->decided) {
         own->timer.expires_at(claim.latest_start);
@@ -500,17 +502,18 @@
 asio::awaitable<pool_grant> server_pool::open(account_name account) {
     pool_grant grant;
     grant.opened = true;
-    const auto started = steady_clock().now();
     auto connection = std::make_unique<pooled_connection>();
     connection->channel = m_connector.make_channel(m_executor);
     connection->account = account;
-    mark_waiting(*connection, started);
+    const auto asked = steady_clock().now();
+    mark_waiting(*connection, asked);
     try {
         connection_request request{m_server.address, m_server.service, account, m_server.id};
         const auto answer = co_await connection->channel->open(std::move(request), open_limit);
-        mark_answered(*connection, steady_clock().now());
+        const auto now = steady_clock().now();
+        mark_answered(*connection, now);
         if (answer.code == answer_code::ok) {
-            grant.opening = steady_clock().now() - started;
+            grant.open_time = now - asked;
             grant.connection = std::move(connection);
             co_return grant;
         }
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -171,7 +171,7 @@
         co_await pool->acquire(m_run.account, m_run.values, deadline, m_run.route->priority);
     m_refused_here += grant.overloaded ? 1 : 0;
     if (grant.connection && grant.opened) {
-        m_service.record_open(grant.opening, steady_clock().now());
+        m_service.record_open(grant.open_time, steady_clock().now());
     }
     co_return grant;
 }
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -43,8 +43,8 @@
 struct pool_grant {
     std::unique_ptr<pooled_connection> connection;
     sessions::answer_code refusal = sessions::answer_code::ok;
-    bool opened = false;       ///< the connection was opened for this request
-    clock::duration opening{}; ///< time that opening it took
+    bool opened = false;         ///< the connection was opened for this request
+    clock::duration open_time{}; ///< how long opening it took
     /// Refused by this instance: the server answers, but the statement could not start in time.
     bool overloaded = false;
 };
