--- a/src/entry/types/entry_settings.h
+++ b/src/entry/types/entry_settings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/types/endpoint.h"
 #include "base/types/name.h"
+#include "machines/types/process_limits.h"
 
 #include <optional>
 #include <vector>
@@ -25,6 +26,7 @@
     int capacity = 100; ///< the instance's share of a processor core, in hundredths
     /// Time from SIGTERM until the sessions that are still open are closed by force.
     clock::duration stop_grace = std::chrono::seconds(6);
+    machines::process_limits limits;
 
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
--- a/tests/process/platform_fixtures.py
+++ b/tests/process/platform_fixtures.py
@@ -109,7 +109,7 @@
 
 
 class Instance:
-    def __init__(self, platform, number, zone, work_dir, build):
+    def __init__(self, platform, number, zone, work_dir, build, limits=""):
         self.caller_port, self.admin_port, self.peer_port, self.gateway_port = (
             free_port() for _ in range(4))
         store, promotions = platform.ports_for_instance()
@@ -125,7 +125,8 @@
                 f"promotions: {LOOPBACK}:{promotions}\n"
                 f"stop_grace_s: {STOP_GRACE_S}\n"
                 f"zones: [{', '.join(platform.zones)}]\n"
-                f"fenced_promotions: {str(platform.fenced).lower()}\n")
+                f"fenced_promotions: {str(platform.fenced).lower()}\n"
+                f"{limits}")
         program = os.path.join(build, "bin", "oriolethread-platform")
         self.command = [program, "--settings", settings]
         self.start()
@@ -154,13 +155,15 @@
 
 
 class PlatformTest(unittest.TestCase):
-    """Starts a platform stand-in and an instance in each of `instance_zones` for each test."""
+    """Starts a platform stand-in and an instance in each of `instance_zones` for each test. `limits`
+    are further lines of the instances' settings."""
 
     rate = 1000
     burst = 1000
     fenced = True
     sync_replicas = 0
     instance_zones = ("zone-a", "zone-b")
+    limits = ""
 
     def setUp(self):
         self.work_dir = tempfile.mkdtemp(prefix="oriole-platform-")
@@ -175,7 +178,8 @@
 
     def add_instance(self, zone):
         build = os.environ.get("ORIOLE_BUILD", os.path.join(ROOT, "build"))
-        instance = Instance(self.platform, len(self.instances), zone, self.work_dir, build)
+        instance = Instance(self.platform, len(self.instances), zone, self.work_dir, build,
+                            self.limits)
         self.addCleanup(instance.stop)
         self.instances.append(instance)
         return instance
