Refuse a new connection when no other one may be closed for it

At the ports between instances the account closed the newest connection of the client that had most. Such a connection may carry a call, whose outcome was lost then. There, and where each client has a single connection, open() now returns nullptr, and the new connection is closed. The port for forwarded statements gets a quarter of the sockets, since an instance opens a connection for each statement that it forwards at the same time.

--- a/src/machines/internal/resource_account.cpp
+++ b/src/machines/internal/resource_account.cpp
@@ -91,6 +91,9 @@
     {
         const std::lock_guard lock(m_mutex);
         closed = make_room(port);
+        if (is_full(port)) {
+            return nullptr;
+        }
         id = ++m_last_id;
         ++m_open.at(static_cast<std::size_t>(port));
         auto& added = m_connections[id];
@@ -252,15 +255,19 @@
     return chosen;
 }
 
+bool resource_account::is_full(client_port port) const {
+    return m_open.at(static_cast<std::size_t>(port)) >= m_bounds.connections(port);
+}
+
 resource_account::holder_list resource_account::make_room(client_port port) {
     holder_list closed;
-    if (m_open.at(static_cast<std::size_t>(port)) < m_bounds.connections(port)) {
+    if (!is_full(port)) {
         return closed;
     }
+    add_refusal(port, refusal_reason::connections);
     const auto chosen = connection_to_replace(port);
     if (chosen != m_connections.end()) {
         closed.push_back(chosen->second.holder);
-        add_refusal(port, refusal_reason::connections);
         forget(chosen);
     }
     return closed;
@@ -280,16 +287,21 @@
             return known.second.port == port && !known.second.client;
         });
     }
+    // A connection between instances may carry a call whose outcome would be lost.
+    if (port != client_port::callers) {
+        return m_connections.end();
+    }
     const auto most = std::max_element(
         by_client.begin(), by_client.end(),
         [](const auto& left, const auto& right) { return left.second < right.second; });
-    auto chosen = m_connections.end();
-    for (auto at = m_connections.begin(); at != m_connections.end(); ++at) {
-        if (at->second.port == port && at->second.client == most->first) {
-            chosen = at;
-        }
+    if (most->second <= 1) {
+        return m_connections.end();
     }
-    return chosen;
+    const auto newest =
+        std::find_if(m_connections.rbegin(), m_connections.rend(), [port, most](const auto& known) {
+            return known.second.port == port && known.second.client == most->first;
+        });
+    return std::prev(newest.base());
 }
 
 void resource_account::forget(connection_map::iterator position) {
--- a/src/machines/internal/resource_bounds.cpp
+++ b/src/machines/internal/resource_bounds.cpp
@@ -37,8 +37,10 @@
     case client_port::callers:
         return m_sockets / 2;
     case client_port::peers:
-    case client_port::gateway:
         return m_sockets / 8;
+    case client_port::gateway:
+        // An instance has a connection for each statement that it forwards at the same time.
+        return m_sockets / 4;
     case client_port::admin:
         return m_sockets / 32;
     }
--- a/src/machines/resource_account.h
+++ b/src/machines/resource_account.h
@@ -117,8 +117,9 @@
     explicit resource_account(const resource_bounds& bounds) : m_bounds(bounds) {}
 
     /// Opens the holding of a new connection. When the port has as many connections as it allows,
-    /// closes another one: the oldest unauthenticated if there are too many of these, otherwise
-    /// the newest of the client that has most.
+    /// closes another one: the oldest unauthenticated if there are too many of these, otherwise,
+    /// at the port for callers, the newest of the client that has most. When there is none to
+    /// close, returns nullptr, and the new connection has to be closed.
     [[nodiscard]] std::unique_ptr<resource_holding> open(client_port port,
                                                          std::weak_ptr<resource_holder> holder);
 
@@ -177,6 +178,7 @@
     /// Stops counting connections until the held bytes are within the bound.
     [[nodiscard]] holder_list release_held();
     [[nodiscard]] connection_map::iterator largest_above_part();
+    [[nodiscard]] bool is_full(client_port port) const;
     /// Stops counting one connection if the port has as many as it allows.
     [[nodiscard]] holder_list make_room(client_port port);
     [[nodiscard]] connection_map::iterator connection_to_replace(client_port port);
--- a/src/machines/tests/resource_account_test.cpp
+++ b/src/machines/tests/resource_account_test.cpp
@@ -43,6 +43,16 @@
         return opened;
     }
 
+    std::vector<test_connection> connect_many(std::size_t number, const std::string& client,
+                                              client_port port = client_port::callers) {
+        std::vector<test_connection> opened;
+        opened.reserve(number);
+        while (opened.size() < number) {
+            opened.push_back(connect(client, port));
+        }
+        return opened;
+    }
+
     /// 16 MiB for each kind of memory, 128 connections of callers.
     const resource_bounds m_bounds{process_limits{64 * mebibyte, 456}};
     std::shared_ptr<resource_account> m_account = std::make_shared<resource_account>(m_bounds);
@@ -64,10 +74,9 @@
 TEST_F(resource_account_test, many_connections_of_one_client_count_together) {
     const auto single = connect("single");
     EXPECT_TRUE(single.hold(held_part::session, 2 * mebibyte));
-    std::vector<test_connection> crowd;
-    for (int number = 0; number < 40; ++number) {
-        crowd.push_back(connect("crowd"));
-        static_cast<void>(crowd.back().hold(held_part::session, mebibyte));
+    const auto crowd = connect_many(40, "crowd");
+    for (const auto& connection : crowd) {
+        static_cast<void>(connection.hold(held_part::session, mebibyte));
     }
     EXPECT_FALSE(single.closed());
     EXPECT_LE(m_account->held_bytes(), m_bounds.held_bytes());
@@ -78,10 +87,9 @@
 TEST_F(resource_account_test, unauthenticated_connections_are_closed_before_authenticated_ones) {
     const auto known = connect("known");
     EXPECT_TRUE(known.hold(held_part::session, 8 * mebibyte));
-    std::vector<test_connection> unknown;
-    for (int number = 0; number < 9; ++number) {
-        unknown.push_back(connect(""));
-        static_cast<void>(unknown.back().hold(held_part::input, mebibyte));
+    const auto unknown = connect_many(9, "");
+    for (const auto& connection : unknown) {
+        static_cast<void>(connection.hold(held_part::input, mebibyte));
     }
     EXPECT_TRUE(unknown.front().closed());
     EXPECT_FALSE(known.closed());
@@ -133,10 +141,7 @@
 
 // Guards against connections that send nothing and use up the descriptors.
 TEST_F(resource_account_test, oldest_unauthenticated_connection_makes_room_for_a_new_one) {
-    std::vector<test_connection> silent;
-    for (std::size_t number = 0; number < m_bounds.connections(client_port::callers); ++number) {
-        silent.push_back(connect(""));
-    }
+    const auto silent = connect_many(m_bounds.connections(client_port::callers), "");
     const auto added = connect("");
     EXPECT_TRUE(silent.front().closed());
     EXPECT_FALSE(silent.back().closed());
@@ -148,10 +153,7 @@
 // Guards against one client whose sessions leave no connection for others.
 TEST_F(resource_account_test, newest_connection_of_the_client_with_most_makes_room) {
     const auto other = connect("other");
-    std::vector<test_connection> crowd;
-    for (std::size_t number = 1; number < m_bounds.connections(client_port::callers); ++number) {
-        crowd.push_back(connect("crowd"));
-    }
+    const auto crowd = connect_many(m_bounds.connections(client_port::callers) - 1, "crowd");
     const auto added = connect("");
     EXPECT_FALSE(other.closed());
     EXPECT_FALSE(crowd.front().closed());
@@ -159,13 +161,29 @@
     EXPECT_EQ(crowd.back().holder->reason(), refusal_reason::connections);
 }
 
+// Guards against a call between instances whose outcome is lost for the sake of a new connection.
+TEST_F(resource_account_test, authenticated_connections_between_instances_are_kept) {
+    const auto instances =
+        connect_many(m_bounds.connections(client_port::gateway), "instance", client_port::gateway);
+    EXPECT_EQ(m_account->open(client_port::gateway, instances.front().holder), nullptr);
+    EXPECT_FALSE(instances.front().closed());
+    EXPECT_FALSE(instances.back().closed());
+}
+
+// Guards against a newcomer that takes the only connection of another client.
+TEST_F(resource_account_test, last_connection_of_a_client_is_kept) {
+    std::vector<test_connection> clients;
+    for (std::size_t number = 0; number < m_bounds.connections(client_port::callers); ++number) {
+        clients.push_back(connect("client" + std::to_string(number)));
+    }
+    EXPECT_EQ(m_account->open(client_port::callers, clients.front().holder), nullptr);
+    EXPECT_FALSE(clients.back().closed());
+}
+
 // Guards against a crowd at one port that closes connections of another.
 TEST_F(resource_account_test, ports_have_connections_of_their_own) {
     const auto caller = connect("");
-    std::vector<test_connection> probes;
-    for (int number = 0; number < 40; ++number) {
-        probes.push_back(connect("", client_port::admin));
-    }
+    const auto probes = connect_many(40, "", client_port::admin);
     EXPECT_FALSE(caller.closed());
     EXPECT_TRUE(probes.front().closed());
 }
