Keep callers within the memory and descriptors of the machine

Connections of callers report what they keep to the process's account, which closes those above their part. A large statement reserves memory for its copies, 12 times its size, and is answered BUSY, or ABORTED in a transaction, when there is none: nothing of it was sent then. After a burst, free memory is returned; large blocks are returned at once.

--- a/src/base/internal/process_setup.cpp
+++ b/src/base/internal/process_setup.cpp
@@ -1,6 +1,7 @@
 #include "base/process_setup.h"
 
 #include <fcntl.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <unistd.h>
 
@@ -9,6 +10,8 @@
 namespace oriole {
 namespace {
 
+constexpr int large_block_bytes = 128 << 10;
+
 sigset_t stop_signals() {
     sigset_t signals;
     sigemptyset(&signals);
@@ -32,6 +35,13 @@
 void prepare_process() {
     std::signal(SIGPIPE, SIG_IGN);
     open_standard_descriptors();
+    // Without a fixed value the C library raises the threshold to the largest block that was freed,
+    // and keeps the later ones in its heap.
+    ::mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+}
+
+void return_free_memory() {
+    ::malloc_trim(0);
 }
 
 void hold_stop_signals() {
--- a/src/entry/caller_channel.h
+++ b/src/entry/caller_channel.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/errors.h"
 #include "base/types/endpoint.h"
+#include "machines/resource_account.h"
 #include "sessions/types/server_command.h"
 #include "sessions/types/statement.h"
 
@@ -38,6 +39,10 @@
 public:
     virtual ~caller_channel() = default;
 
+    /// Reports from now on what the channel keeps of the client's input and of its answers, and
+    /// ends the connection when that is refused. A channel that keeps neither ignores it.
+    virtual void account_to(const std::shared_ptr<machines::resource_holding>& /*holding*/) {}
+
     /// Receives the client's connect request; nullopt when the client disconnected or sent any
     /// other message.
     [[nodiscard]] virtual boost::asio::awaitable<std::optional<session_request>> accept() = 0;
@@ -67,6 +72,9 @@
     /// Returns whether unread bytes of a further statement have arrived.
     [[nodiscard]] virtual bool has_input() = 0;
 
+    /// Bytes of the client that wait in the socket. A channel without a socket has none.
+    [[nodiscard]] virtual std::size_t unread_bytes() { return 0; }
+
     /// Discards what the client sends until it closes its connection, up to `limit`. Closing a
     /// connection with unread input resets it, and the end of the last answer may be lost.
     /// Precondition: the stream to the client has ended.
--- a/src/entry/entry_instance.h
+++ b/src/entry/entry_instance.h
@@ -5,6 +5,7 @@
 #include "entry/caller_channel.h"
 #include "entry/fleet_store.h"
 #include "entry/types/entry_settings.h"
+#include "machines/resource_account.h"
 #include "routing/server_channel.h"
 
 #include <memory>
@@ -17,6 +18,12 @@
 public:
     virtual ~entry_platform() = default;
 
+    /// The account in which the platform counts what its connections hold; nullptr when it counts
+    /// nothing.
+    [[nodiscard]] virtual std::shared_ptr<machines::resource_account> resources() {
+        return nullptr;
+    }
+
     /// Creates connections to backend servers. May be used with the executor of any thread.
     [[nodiscard]] virtual routing::server_connector& connector() = 0;
 
--- a/src/entry/internal/caller_service.cpp
+++ b/src/entry/internal/caller_service.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -23,6 +24,9 @@
 constexpr clock::duration quiet_time = 300ms;
 /// Time for a client to close its connection after the last answer.
 constexpr clock::duration client_close_time = 200ms;
+/// A statement that is shorter, with the values of its session, runs without a reservation of
+/// memory: each connection runs one at a time.
+constexpr std::size_t min_reserved_bytes = std::size_t{4} << 10U;
 
 std::string format_position(const machines::log_position& position) {
     return std::to_string(position.term()) + "." + std::to_string(position.offset());
@@ -30,6 +34,34 @@
 
 } // namespace
 
+void caller_service::open_account() {
+    m_holding = m_context.resources()->open(machines::client_port::callers, weak_from_this());
+    if (m_holding == nullptr) {
+        m_channel->close();
+        return;
+    }
+    m_channel->account_to(m_holding);
+}
+
+void caller_service::close_for(machines::refusal_reason reason) {
+    asio::post(m_context.executor(), [self = shared_from_this(), reason] {
+        if (!self->m_closed) {
+            self->m_context.refusals().log_closed(self->m_database, self->m_account, reason);
+            self->close();
+        }
+    });
+}
+
+void caller_service::account_unread() {
+    const bool was_running = std::exchange(m_was_running, m_statement_running);
+    if (m_holding == nullptr || !was_running) {
+        return;
+    }
+    const auto bytes = m_statement_running ? m_channel->unread_bytes() : 0;
+    // When this connection has to be closed, close_for() does so.
+    static_cast<void>(m_holding->hold(machines::held_part::unread, bytes));
+}
+
 asio::awaitable<void> caller_service::serve() {
     const auto self = shared_from_this();
     try {
@@ -89,6 +121,9 @@
     m_key = request->key;
     m_account = grant.account;
     m_route = *grant.route;
+    if (m_holding != nullptr) {
+        m_holding->authenticate(m_account.str());
+    }
     co_await m_channel->confirm_session();
     m_answered_at = steady_clock().now();
     co_return true;
@@ -232,9 +267,14 @@
     }
     routing::statement_run run;
     run.decision = m_session.decide(statement);
+    if (!may_keep_session()) {
+        throw caller_lost("the session keeps more than it may");
+    }
     run.arrived = arrived;
     run.account = m_account;
-    run.values = m_session.values();
+    if (run.decision.step == session_step::run || run.decision.step == session_step::commit) {
+        run.values = m_session.values(); // Only a server needs them, and they may be long.
+    }
     run.own_commit = m_session.last_commit();
     run.statement = std::move(statement);
     m_run = &run;
@@ -250,6 +290,7 @@
         co_return next_step::served_by_finish;
     }
     m_run = nullptr;
+    m_running_memory.reset();
     if (!has_outcome) {
         const bool unsent = run.handover->withdraw();
         outcome = end_without_result(run, m_admitted && !unsent);
@@ -292,6 +333,11 @@
     if (m_refusing_transactions && begins_transaction) {
         co_return end_without_result(run, false);
     }
+    if (!reserve_memory(run)) {
+        outcome = end_without_result(run, false);
+        outcome.routing_basis = "memory";
+        co_return outcome;
+    }
     m_admitted = !run.decision.starts_operation;
     if (run.decision.starts_operation) {
         m_admitted = co_await m_context.admit(m_account);
@@ -365,6 +411,32 @@
     co_return outcome;
 }
 
+bool caller_service::may_keep_session() {
+    const auto bytes = m_session.state_bytes();
+    if (m_holding == nullptr || bytes == m_state_bytes) {
+        return true;
+    }
+    m_state_bytes = bytes;
+    if (m_session.value_bytes() > m_context.resources()->bounds().session_value_bytes()) {
+        m_holding->count_refusal(machines::refusal_reason::session_values);
+        return false;
+    }
+    return m_holding->hold(machines::held_part::session, bytes);
+}
+
+bool caller_service::reserve_memory(const routing::statement_run& run) {
+    const auto bytes = run.statement.text.size() + m_session.value_bytes();
+    if (run.decision.step != session_step::run || bytes < min_reserved_bytes) {
+        return true;
+    }
+    m_running_memory = m_context.resources()->try_run(
+        machines::running_kind::statement, m_account.str(), bytes * machines::statement_copies);
+    if (m_running_memory == nullptr && m_holding != nullptr) {
+        m_holding->count_refusal(machines::refusal_reason::running_memory);
+    }
+    return m_running_memory != nullptr;
+}
+
 asio::awaitable<void> caller_service::reply(sessions::server_answer answer, bool is_last) {
     if (is_last) {
         co_await m_channel->answer_and_end(std::move(answer));
--- a/src/entry/internal/caller_service.h
+++ b/src/entry/internal/caller_service.h
@@ -17,13 +17,24 @@
 
 /// Serves the session of one client from its connect request to its end. Not thread-safe; used on
 /// the traffic thread.
-class caller_service : public std::enable_shared_from_this<caller_service> {
+class caller_service : public machines::resource_holder,
+                       public std::enable_shared_from_this<caller_service> {
 public:
     caller_service(traffic_context& context, std::shared_ptr<caller_channel> channel)
         : m_context(context),
           m_channel(std::move(channel)),
           m_finish_wait(context.executor(), clock::time_point::max()) {}
 
+    /// Has the account count what the connection holds. To be called once, before serve().
+    void open_account();
+
+    /// Closes the connection to the client. Thread-safe.
+    void close_for(machines::refusal_reason reason) override;
+
+    /// Counts the input that has arrived while a statement runs for longer than the time between
+    /// two calls. To be called regularly.
+    void account_unread();
+
     /// Serves the client until it disconnects or the session is closed.
     [[nodiscard]] boost::asio::awaitable<void> serve();
 
@@ -80,6 +91,10 @@
     /// Whether the next answer is the last one of the session.
     [[nodiscard]] bool ends_with_next_answer() const;
     [[nodiscard]] sessions::answer_code check_permission();
+    /// Whether the session may keep its values and prepared statements.
+    [[nodiscard]] bool may_keep_session();
+    /// Reserves memory for a large statement. Returns false when there is none.
+    [[nodiscard]] bool reserve_memory(const routing::statement_run& run);
     void log_end(std::string_view event, std::string_view reason);
     void close();
     /// Rolls the open transaction back, unless a statement that end_now() has answered still runs
@@ -97,6 +112,10 @@
     account_name m_account;
     fleet::route m_route; ///< route of the open transaction, or of the last operation
     sessions::caller_session m_session;
+    std::shared_ptr<machines::resource_holding> m_holding;
+    std::unique_ptr<machines::running_memory> m_running_memory; ///< of a large statement
+    std::size_t m_state_bytes = 0; ///< of the session, as they were last reported
+    bool m_was_running = false;    ///< a statement was running at the last account_unread()
     std::unique_ptr<statement_transaction> m_transaction;
     bool m_statement_running = false;
     const routing::statement_run* m_run = nullptr; ///< the statement whose outcome is awaited
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -28,13 +28,18 @@
 traffic_context::traffic_context(boost::asio::any_io_executor executor,
                                  routing::server_connector& connector,
                                  const entry_settings& settings, decision_log& log,
-                                 metric_registry& metrics)
+                                 metric_registry& metrics,
+                                 std::shared_ptr<machines::resource_account> resources)
     : m_executor(std::move(executor)),
       m_connector(connector, log, metrics),
       m_own(settings.instance),
       m_own_zone(settings.zone),
       m_leasing(settings.fenced_promotions ? fleet::primary_leasing::not_needed
                                            : fleet::primary_leasing::needed),
+      m_resources(resources != nullptr ? std::move(resources)
+                                       : std::make_shared<machines::resource_account>(
+                                             machines::resource_bounds(settings.limits))),
+      m_refusals(m_resources, log, metrics),
       m_log(log),
       m_metrics(metrics),
       m_statement_latency(metrics, "oriole_statement_latency"),
@@ -206,6 +211,7 @@
 
 traffic_report traffic_context::collect_report() {
     m_suspensions.record_turn(boot_clock().now());
+    m_refusals.publish(steady_clock().now());
     traffic_report report;
     const auto now = steady_clock().now();
     for (const auto& [name, known] : m_services) {
--- a/src/entry/internal/traffic_context.h
+++ b/src/entry/internal/traffic_context.h
@@ -6,6 +6,7 @@
 #include "base/latency_histogram.h"
 #include "base/metric_registry.h"
 #include "contracts/rate_limiter.h"
+#include "entry/internal/client_refusals.h"
 #include "entry/internal/forwarding_executor.h"
 #include "entry/internal/gateway_link.h"
 #include "entry/internal/local_executor.h"
@@ -13,6 +14,7 @@
 #include "entry/types/entry_settings.h"
 #include "entry/types/traffic_report.h"
 #include "fleet/types/fleet_view.h"
+#include "machines/resource_account.h"
 #include "routing/checked_connector.h"
 #include "routing/service_traffic.h"
 
@@ -34,8 +36,10 @@
 /// accounts' rates. Not thread-safe.
 class traffic_context {
 public:
+    /// Without `resources`, the context counts what its clients hold in an account of its own.
     traffic_context(boost::asio::any_io_executor executor, routing::server_connector& connector,
-                    const entry_settings& settings, decision_log& log, metric_registry& metrics);
+                    const entry_settings& settings, decision_log& log, metric_registry& metrics,
+                    std::shared_ptr<machines::resource_account> resources = nullptr);
 
     void apply(std::shared_ptr<const fleet::fleet_view> view);
 
@@ -86,6 +90,13 @@
         return m_executor;
     }
 
+    /// The account of what clients hold, which all threads share.
+    [[nodiscard]] const std::shared_ptr<machines::resource_account>& resources() const noexcept {
+        return m_resources;
+    }
+
+    [[nodiscard]] client_refusals& refusals() noexcept { return m_refusals; }
+
     [[nodiscard]] decision_log& log() noexcept { return m_log; }
 
     [[nodiscard]] metric_registry& metrics() noexcept { return m_metrics; }
@@ -121,6 +132,8 @@
     instance_id m_own;
     zone_name m_own_zone;
     fleet::primary_leasing m_leasing;
+    std::shared_ptr<machines::resource_account> m_resources;
+    client_refusals m_refusals;
     decision_log& m_log;
     metric_registry& m_metrics;
     latency_histogram m_statement_latency;
--- a/src/entry/internal/traffic_thread.cpp
+++ b/src/entry/internal/traffic_thread.cpp
@@ -37,11 +37,13 @@
 
 traffic_thread::traffic_thread(const entry_settings& settings, entry_platform& platform,
                                decision_log& log, metric_registry& metrics,
-                               report_handler on_report)
+                               report_handler on_report,
+                               std::shared_ptr<machines::resource_account> resources)
     : m_settings(settings),
       m_log(log),
       m_work(m_io.get_executor()),
-      m_context(m_io.get_executor(), platform.connector(), settings, log, metrics),
+      m_context(m_io.get_executor(), platform.connector(), settings, log, metrics,
+                std::move(resources)),
       m_gateway(m_io.get_executor(), settings.gateway, m_context),
       m_listener(platform.make_listener(m_io.get_executor(), settings.callers)),
       m_on_report(std::move(on_report)),
@@ -104,6 +106,7 @@
 
 void traffic_thread::serve(std::shared_ptr<caller_channel> channel) {
     auto session = std::make_shared<caller_service>(m_context, std::move(channel));
+    session->open_account();
     const auto position = m_sessions.insert(m_sessions.end(), session);
     m_open_sessions.add();
     asio::co_spawn(
@@ -120,6 +123,9 @@
 asio::awaitable<void> traffic_thread::report_regularly() {
     while (true) {
         co_await pause(report_interval);
+        for (const auto& session : open_sessions()) {
+            session->account_unread();
+        }
         m_on_report(m_context.collect_report());
     }
 }
--- a/src/entry/internal/traffic_thread.h
+++ b/src/entry/internal/traffic_thread.h
@@ -28,7 +28,8 @@
 
     /// `on_report` runs on the traffic thread.
     traffic_thread(const entry_settings& settings, entry_platform& platform, decision_log& log,
-                   metric_registry& metrics, report_handler on_report);
+                   metric_registry& metrics, report_handler on_report,
+                   std::shared_ptr<machines::resource_account> resources = nullptr);
     ~traffic_thread();
 
     traffic_thread(const traffic_thread&) = delete;
--- a/src/entry/tests/caller_service_test.cpp
+++ b/src/entry/tests/caller_service_test.cpp
@@ -352,5 +352,57 @@
     EXPECT_TRUE(server_received(sessions::command_kind::rollback));
 }
 
+// Guards against a large statement that runs without memory for its copies, and against one that is
+// answered as not run although it was sent.
+TEST_F(caller_service_test, large_statement_without_memory_is_refused_and_not_sent) {
+    auto large = make(sessions::statement_kind::write);
+    large.text = "WRITE a " + std::string(std::size_t{1} << 20U, 'x');
+    const auto others = m_context.resources()->try_run(
+        machines::running_kind::statement, "", m_context.resources()->bounds().held_bytes());
+    m_caller->statements = {large, make(sessions::statement_kind::write)};
+    serve();
+    EXPECT_EQ(m_caller->codes, (std::vector{answer_code::busy, answer_code::ok}));
+    EXPECT_EQ(m_servers.at("primary").statements, 1);
+}
+
+// Guards against a transaction that goes on after one of its statements was refused.
+TEST_F(caller_service_test, large_statement_without_memory_aborts_its_transaction) {
+    auto large = make(sessions::statement_kind::write);
+    large.text = "WRITE a " + std::string(std::size_t{1} << 20U, 'x');
+    const auto others = m_context.resources()->try_run(
+        machines::running_kind::statement, "", m_context.resources()->bounds().held_bytes());
+    m_caller->statements = {make(sessions::statement_kind::begin), large,
+                            make(sessions::statement_kind::rollback)};
+    serve();
+    EXPECT_EQ(m_caller->codes,
+              (std::vector{answer_code::ok, answer_code::aborted, answer_code::ok}));
+    EXPECT_EQ(m_servers.at("primary").statements, 0);
+}
+
+// Guards against a large statement that is refused in calm, and against memory that stays reserved.
+TEST_F(caller_service_test, large_statement_is_served_in_calm) {
+    auto large = make(sessions::statement_kind::write);
+    large.text = "WRITE a " + std::string(std::size_t{1} << 20U, 'x');
+    m_caller->statements = {large, large};
+    m_caller->statements.back().text += "y"; // Another signature of the fake server.
+    serve();
+    EXPECT_EQ(m_caller->codes, std::vector(2, answer_code::ok));
+    EXPECT_EQ(m_context.resources()->running_bytes(), 0U);
+}
+
+// Guards against a session that keeps values without a limit.
+TEST_F(caller_service_test, session_with_too_many_values_is_closed) {
+    m_session->open_account();
+    for (int number = 0; number < 20; ++number) {
+        auto value = make(sessions::statement_kind::set_value);
+        value.name = "name" + std::to_string(number);
+        value.argument = std::string(std::size_t{1} << 20U, 'x');
+        m_caller->statements.push_back(value);
+    }
+    serve();
+    EXPECT_TRUE(m_caller->closed);
+    EXPECT_LT(m_caller->answers, 20);
+}
+
 } // namespace
 } // namespace oriole::entry
--- a/src/sessions/caller_session.h
+++ b/src/sessions/caller_session.h
@@ -7,6 +7,7 @@
 #include "sessions/types/session_values.h"
 #include "sessions/types/statement.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,6 +60,14 @@
 
     [[nodiscard]] const session_values& values() const noexcept { return m_values; }
 
+    /// Bytes of the names and values that were set.
+    [[nodiscard]] std::size_t value_bytes() const noexcept { return m_value_bytes; }
+
+    /// Bytes of all that the session keeps: values and prepared statements.
+    [[nodiscard]] std::size_t state_bytes() const noexcept {
+        return m_value_bytes + m_prepared_bytes;
+    }
+
     /// The highest log position of the session's acknowledged commits.
     [[nodiscard]] std::optional<machines::log_position> last_commit() const noexcept {
         return m_last_commit;
@@ -69,10 +78,14 @@
     [[nodiscard]] session_decision decide_begin(const statement& next);
     [[nodiscard]] session_decision decide_execute(const statement& next);
     [[nodiscard]] session_decision decide_close(const statement& next);
+    void set_value(const statement& next);
+    void prepare(const statement& next);
     [[nodiscard]] session_decision reject(answer_code code);
 
     session_values m_values;
     std::map<std::string, prepared_statement> m_prepared;
+    std::size_t m_value_bytes = 0;
+    std::size_t m_prepared_bytes = 0;
     transaction_state m_state = transaction_state::none;
     bool m_reads_only = false;
     std::optional<machines::log_position> m_last_commit;
--- a/src/sessions/internal/caller_session.cpp
+++ b/src/sessions/internal/caller_session.cpp
@@ -5,6 +5,9 @@
 namespace oriole::sessions {
 namespace {
 
+/// Bytes of an entry of a map beside its texts.
+constexpr std::size_t entry_bytes = 128;
+
 session_decision answer_decision(answer_code code) {
     session_decision decision;
     decision.code = code;
@@ -42,10 +45,10 @@
         decision.starts_operation = m_state == transaction_state::none;
         return decision;
     case statement_kind::set_value:
-        m_values[next.name] = next.argument;
+        set_value(next);
         return decision;
     case statement_kind::prepare:
-        m_prepared[next.name] = prepared_statement{next.shape, next.writes};
+        prepare(next);
         return decision;
     case statement_kind::execute:
         return decide_execute(next);
@@ -98,12 +101,31 @@
 }
 
 session_decision caller_session::decide_close(const statement& next) {
-    if (m_prepared.erase(next.name) == 0) {
+    const auto found = m_prepared.find(next.name);
+    if (found == m_prepared.end()) {
         return reject(answer_code::unknown_name);
     }
+    m_prepared_bytes -= entry_bytes + found->first.size() + found->second.shape.size();
+    m_prepared.erase(found);
     return {};
 }
 
+void caller_session::set_value(const statement& next) {
+    const auto [position, added] = m_values.try_emplace(next.name);
+    m_value_bytes += added ? entry_bytes + next.name.size() : 0;
+    m_value_bytes += next.argument.size();
+    m_value_bytes -= position->second.size();
+    position->second = next.argument;
+}
+
+void caller_session::prepare(const statement& next) {
+    const auto [position, added] = m_prepared.try_emplace(next.name);
+    m_prepared_bytes += added ? entry_bytes + next.name.size() : 0;
+    m_prepared_bytes += next.shape.size();
+    m_prepared_bytes -= position->second.shape.size();
+    position->second = prepared_statement{next.shape, next.writes};
+}
+
 session_decision caller_session::reject(answer_code code) {
     session_decision decision = answer_decision(code);
     if (m_state == transaction_state::open) {
--- a/src/sessions/tests/caller_session_test.cpp
+++ b/src/sessions/tests/caller_session_test.cpp
@@ -106,5 +106,21 @@
     EXPECT_EQ(m_session.last_commit(), machines::log_position(2, 9));
 }
 
+// Guards against sessions whose names and values take memory that nobody counts, or that stay
+// counted after they were replaced or closed.
+TEST_F(caller_session_test, state_bytes_follow_values_and_prepared_statements) {
+    EXPECT_EQ(m_session.state_bytes(), 0U);
+    static_cast<void>(decide(statement_kind::set_value, "name", std::string(1000, 'x')));
+    const auto value_bytes = m_session.value_bytes();
+    EXPECT_GE(value_bytes, 1004U);
+    prepare("statement", std::string(100, 'q'), false);
+    EXPECT_GE(m_session.state_bytes(), value_bytes + 109);
+    prepare("statement", "q", false);
+    static_cast<void>(decide(statement_kind::close_prepared, "statement"));
+    EXPECT_EQ(m_session.state_bytes(), value_bytes);
+    static_cast<void>(decide(statement_kind::set_value, "name", "x"));
+    EXPECT_EQ(m_session.state_bytes(), value_bytes - 999);
+}
+
 } // namespace
 } // namespace oriole::sessions
