Limit connections and messages at the ports of instances and probes

A message between instances took its announced length in memory before a byte of it had arrived, and connections to these ports and to the port for probes were limited by constants that knew no machine.

These ports use the process's account. Memory for a frame is taken as its bytes arrive. Connections that have not proved to be an instance are replaced by new ones when a port is full. A large call without memory for its copies is refused as not run, so that the other instance runs it elsewhere.

--- a/src/entry/internal/control_thread.cpp
+++ b/src/entry/internal/control_thread.cpp
@@ -71,12 +71,16 @@
               settings.zones.size()),
       m_store(platform.make_store(m_io.get_executor())),
       m_authority(platform.make_authority(m_io.get_executor())),
-      m_traffic(settings, platform, log, metrics,
-                [this](traffic_report report) {
-                    asio::post(m_io, [this, moved = std::move(report)] { on_traffic(moved); });
-                }),
-      m_peers(m_io.get_executor(), m_fleet, settings.peers, log, metrics,
-              [this] { return publish_and_wait(); }),
+      m_resources(platform.resources()),
+      m_traffic(
+          settings, platform, log, metrics,
+          [this](traffic_report report) {
+              asio::post(m_io, [this, moved = std::move(report)] { on_traffic(moved); });
+          },
+          m_resources),
+      m_peers(
+          m_io.get_executor(), m_fleet, settings.peers, log, metrics,
+          [this] { return publish_and_wait(); }, m_resources),
       m_leases(m_io.get_executor(), m_fleet, m_peers, log),
       m_orders(m_io.get_executor(), m_fleet, *m_store, log),
       m_changer(m_io.get_executor(), m_fleet, m_orders, *m_authority, platform.connector(),
@@ -87,7 +91,8 @@
                     m_peers.exchange_with_all();
                     publish();
                 }),
-      m_admin(links::make_http_admin_server(m_io.get_executor(), settings.admin, *this)) {}
+      m_admin(
+          links::make_http_admin_server(m_io.get_executor(), settings.admin, *this, m_resources)) {}
 
 void control_thread::run() {
     m_admin->start();
--- a/src/entry/internal/control_thread.h
+++ b/src/entry/internal/control_thread.h
@@ -83,6 +83,7 @@
     fleet_state m_fleet;
     std::unique_ptr<fleet_store> m_store;
     std::unique_ptr<promotion_authority> m_authority;
+    std::shared_ptr<machines::resource_account> m_resources;
     traffic_thread m_traffic;
     peer_exchange m_peers;
     lease_revoker m_leases;
--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -96,7 +96,8 @@
                                  traffic_context& context)
     : m_executor(std::move(executor)),
       m_context(context),
-      m_server(links::make_peer_server(m_executor, listen, "gateway", fleet_secret())) {
+      m_server(links::make_peer_server(m_executor, listen, "gateway", fleet_secret(),
+                                       {context.resources(), machines::client_port::gateway})) {
     m_server->add_method(run_method, [this](std::string text) { return run(std::move(text)); });
     m_server->add_method(roll_back_method,
                          [this](std::string text) { return roll_back(std::move(text)); });
--- a/src/entry/internal/peer_exchange.cpp
+++ b/src/entry/internal/peer_exchange.cpp
@@ -29,13 +29,15 @@
 
 peer_exchange::peer_exchange(asio::any_io_executor executor, fleet_state& fleet,
                              const endpoint& listen, decision_log& log, metric_registry& metrics,
-                             std::function<asio::awaitable<void>()> apply_orders)
+                             std::function<asio::awaitable<void>()> apply_orders,
+                             std::shared_ptr<machines::resource_account> resources)
     : m_executor(std::move(executor)),
       m_fleet(fleet),
       m_log(log),
       m_unexpected_replies(log, metrics),
       m_link(links::make_peer_link(m_executor, fleet_secret())),
-      m_server(links::make_peer_server(m_executor, listen, "peers", fleet_secret())),
+      m_server(links::make_peer_server(m_executor, listen, "peers", fleet_secret(),
+                                       {std::move(resources), machines::client_port::peers})),
       m_apply_orders(std::move(apply_orders)) {
     m_server->add_method(report_method,
                          [this](std::string text) { return answer(std::move(text)); });
--- a/src/entry/internal/peer_exchange.h
+++ b/src/entry/internal/peer_exchange.h
@@ -36,7 +36,8 @@
     /// instance. A report that knows an order is answered only after that.
     peer_exchange(boost::asio::any_io_executor executor, fleet_state& fleet, const endpoint& listen,
                   decision_log& log, metric_registry& metrics,
-                  std::function<boost::asio::awaitable<void>()> apply_orders);
+                  std::function<boost::asio::awaitable<void>()> apply_orders,
+                  std::shared_ptr<machines::resource_account> resources);
 
     /// Polls the report peers in turn until the executor stops.
     [[nodiscard]] boost::asio::awaitable<void> run();
--- a/src/links/admin_server.h
+++ b/src/links/admin_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/types/endpoint.h"
+#include "machines/resource_account.h"
 
 #include <utility>
 
@@ -37,9 +38,11 @@
     virtual void stop() = 0;
 };
 
-/// Precondition: `handler` outlives the server; `executor` runs on one thread.
+/// Without an account, the number of connections is not limited. Precondition: `handler` outlives
+/// the server; `executor` runs on one thread.
 [[nodiscard]] std::shared_ptr<admin_server>
 make_http_admin_server(boost::asio::any_io_executor executor, const endpoint& listen,
-                       const admin_handler& handler);
+                       const admin_handler& handler,
+                       std::shared_ptr<machines::resource_account> resources = nullptr);
 
 } // namespace oriole::links
--- a/src/links/internal/http_admin_server.cpp
+++ b/src/links/internal/http_admin_server.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "links/admin_server.h"
+#include "links/internal/stream_holder.h"
 #include "links/listening_socket.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +26,7 @@
 /// The setting with the address of this server.
 constexpr const char* listen_role = "admin";
 constexpr std::chrono::seconds exchange_timeout{10};
+constexpr std::size_t max_request_bytes = std::size_t{16} << 10U;
 /// Delay after a failed accept, which would fail again immediately while the process is out of file
 /// descriptors.
 constexpr std::chrono::milliseconds accept_retry_delay{100};
@@ -33,11 +35,13 @@
                                 public std::enable_shared_from_this<http_admin_server> {
 public:
     http_admin_server(asio::any_io_executor executor, const endpoint& listen,
-                      const admin_handler& handler)
+                      const admin_handler& handler,
+                      std::shared_ptr<machines::resource_account> resources)
         : m_executor(std::move(executor)),
           m_address(listen),
           m_acceptor(m_executor),
-          m_handler(handler) {}
+          m_handler(handler),
+          m_resources(std::move(resources)) {}
 
     void start() override {
         listen(m_acceptor, m_address, listen_role);
@@ -79,7 +83,15 @@
     }
 
     [[nodiscard]] asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream) {
-        beast::flat_buffer buffer;
+        const auto holder = std::make_shared<stream_holder>(*stream);
+        std::unique_ptr<machines::resource_holding> holding;
+        if (m_resources != nullptr) {
+            holding = m_resources->open(machines::client_port::admin, holder);
+            if (holding == nullptr) {
+                co_return;
+            }
+        }
+        beast::flat_buffer buffer(max_request_bytes);
         error_code error;
         bool more = true;
         while (more) {
@@ -95,6 +107,7 @@
                                        asio::redirect_error(asio::use_awaitable, error));
             more = !error && reply.keep_alive();
         }
+        holder->detach();
         stream->socket().shutdown(tcp::socket::shutdown_both, error);
     }
 
@@ -133,14 +146,17 @@
     endpoint m_address;
     tcp::acceptor m_acceptor;
     const admin_handler& m_handler;
+    std::shared_ptr<machines::resource_account> m_resources;
 };
 
 } // namespace
 
-std::shared_ptr<admin_server> make_http_admin_server(asio::any_io_executor executor,
-                                                     const endpoint& listen,
-                                                     const admin_handler& handler) {
-    return std::make_shared<http_admin_server>(std::move(executor), listen, handler);
+std::shared_ptr<admin_server>
+make_http_admin_server(asio::any_io_executor executor, const endpoint& listen,
+                       const admin_handler& handler,
+                       std::shared_ptr<machines::resource_account> resources) {
+    return std::make_shared<http_admin_server>(std::move(executor), listen, handler,
+                                               std::move(resources));
 }
 
 } // namespace oriole::links
--- a/src/links/internal/peer_connection.h
+++ b/src/links/internal/peer_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "links/internal/peer_session.h"
+#include "machines/resource_account.h"
 
 #include <utility>
 
@@ -8,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 namespace oriole::links {
@@ -20,10 +22,17 @@
     boost::beast::tcp_stream stream;
     peer_session session;
     std::size_t bytes = 0; ///< total sent and received
+    /// Counts the frame that is being received and the call that it carries; may be null.
+    std::unique_ptr<machines::resource_holding> holding;
+    std::size_t kept_bytes = 0; ///< as they were last reported to the holding
 };
 
-/// Reads the next frame. Throws decode_error when it is longer than `limit`,
-/// boost::system::system_error when the connection fails or the stream's deadline passes.
+/// Reports what the connection keeps; returns whether it may. Small messages are not reported.
+[[nodiscard]] bool keep_bytes(peer_connection& connection, std::size_t bytes);
+
+/// Reads the next frame. Memory is taken as its bytes arrive, not for the length that it announces.
+/// Throws decode_error when it is longer than `limit`, boost::system::system_error when the
+/// connection fails, the stream's deadline passes or the frame may not be kept.
 [[nodiscard]] boost::asio::awaitable<std::string> read_peer_frame(peer_connection& from,
                                                                   std::size_t limit);
 
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -2,6 +2,7 @@
 
 #include "links/internal/peer_connection.h"
 #include "links/internal/rpc_server_codec.h"
+#include "links/internal/stream_holder.h"
 #include "links/listening_socket.h"
 
 #include <boost/asio.hpp>
@@ -31,13 +32,19 @@
 
 constexpr int refusals_per_log_line = 100;
 
+/// Shorter calls run without a reservation of memory.
+constexpr std::size_t min_reserved_bytes = std::size_t{64} << 10U;
+
 /// Accepts peer connections and serves their calls. Shared by the coroutines of all connections, so
 /// it exists until the last of them has ended.
 class peer_acceptor : public std::enable_shared_from_this<peer_acceptor> {
 public:
     peer_acceptor(asio::any_io_executor executor, const endpoint& address, std::string_view role,
-                  const peer_key& key)
-        : m_executor(std::move(executor)), m_acceptor(m_executor), m_key(key) {
+                  const peer_key& key, port_account account)
+        : m_executor(std::move(executor)),
+          m_acceptor(m_executor),
+          m_key(key),
+          m_account(std::move(account)) {
         links::listen(m_acceptor, address, role);
     }
 
@@ -67,10 +74,14 @@
     static awaitable<void> serve(std::shared_ptr<peer_acceptor> self, tcp::socket socket);
     awaitable<void> serve_calls(peer_connection& connection);
     awaitable<std::string> answer(std::string request);
+    /// Answers the call if there is memory for its copies.
+    awaitable<std::string> answer_within_memory(peer_connection& connection,
+                                                const std::string& peer, std::string request);
 
     asio::any_io_executor m_executor;
     tcp::acceptor m_acceptor;
     peer_key m_key;
+    port_account m_account;
     rpc_server_codec m_protocol;
     std::map<std::string, peer_server::handler> m_handlers;
     std::set<peer_connection*> m_connections;
@@ -96,6 +107,13 @@
     peer_connection connection(boost::beast::tcp_stream(std::move(socket)), peer_side::server,
                                self->m_key);
     self->m_connections.insert(&connection);
+    const auto holder = std::make_shared<stream_holder>(connection.stream);
+    if (self->m_account.resources != nullptr) {
+        connection.holding = self->m_account.resources->open(self->m_account.port, holder);
+        if (connection.holding == nullptr) {
+            connection.stream.close();
+        }
+    }
     try {
         co_await self->serve_calls(connection);
     } catch (const boost::system::system_error&) {
@@ -105,6 +123,7 @@
         LOG_EVERY_N(WARNING, refusals_per_log_line)
             << "peer connection closed; reason=\"" << refusal.what() << "\"";
     }
+    holder->detach();
     self->m_connections.erase(&connection);
 }
 
@@ -116,17 +135,43 @@
     std::string answered = connection.session.hello();
     co_await write_peer_frame(connection, std::move(answered));
     std::size_t limit = max_first_peer_call_bytes + peer_seal_bytes;
+    // Connections from one machine share a part of each bound. The blank keeps the name apart from
+    // those of accounts.
+    bool first_call = true;
+    const auto peer =
+        "instance " + connection.stream.socket().remote_endpoint().address().to_string();
     while (!m_stopped) {
         const std::string frame = co_await read_peer_frame(connection, limit);
         std::string request = connection.session.open(frame);
         limit = max_peer_message_bytes + peer_seal_bytes;
-        std::string text = co_await answer(std::move(request));
+        if (connection.holding != nullptr && std::exchange(first_call, false)) {
+            connection.holding->authenticate(peer);
+        }
+        std::string text = co_await answer_within_memory(connection, peer, std::move(request));
+        if (!keep_bytes(connection, 0)) {
+            co_return; // The connection is being closed.
+        }
         connection.stream.expires_after(idle_timeout);
         std::string sealed = connection.session.seal(text);
         co_await write_peer_frame(connection, std::move(sealed));
     }
 }
 
+awaitable<std::string> peer_acceptor::answer_within_memory(peer_connection& connection,
+                                                           const std::string& peer,
+                                                           std::string request) {
+    if (m_account.resources == nullptr || request.size() < min_reserved_bytes) {
+        co_return co_await answer(std::move(request));
+    }
+    const auto memory = m_account.resources->try_run(machines::running_kind::statement, peer,
+                                                     request.size() * machines::statement_copies);
+    if (memory == nullptr) {
+        connection.holding->count_refusal(machines::refusal_reason::running_memory);
+        co_return m_protocol.answer(request, {true, "no memory for the call", true});
+    }
+    co_return co_await answer(std::move(request));
+}
+
 awaitable<std::string> peer_acceptor::answer(std::string request) {
     rpc_outcome result{true, "the request is not a single call of a known method", true};
     const auto call = m_protocol.read(request);
@@ -178,9 +223,9 @@
 
 std::unique_ptr<peer_server> make_peer_server(asio::any_io_executor executor,
                                               const endpoint& listen, std::string_view role,
-                                              const peer_secret& secret) {
+                                              const peer_secret& secret, port_account account) {
     return std::make_unique<tcp_peer_server>(std::make_shared<peer_acceptor>(
-        std::move(executor), listen, role, derive_peer_key(secret)));
+        std::move(executor), listen, role, derive_peer_key(secret), std::move(account)));
 }
 
 } // namespace oriole::links
--- a/src/links/peer_link.h
+++ b/src/links/peer_link.h
@@ -4,6 +4,7 @@
 #include "base/errors.h"
 #include "base/types/endpoint.h"
 #include "links/backend_link.h"
+#include "machines/resource_account.h"
 
 #include <utility>
 
@@ -109,11 +110,16 @@
 [[nodiscard]] std::unique_ptr<peer_link> make_peer_link(boost::asio::any_io_executor executor,
                                                         const peer_secret& secret);
 
+/// Counts what the connections to a port hold. Without an account, only their number is limited.
+struct port_account {
+    std::shared_ptr<machines::resource_account> resources;
+    machines::client_port port = machines::client_port::peers;
+};
+
 /// The returned server already listens. `role` is what the address is for, as in the settings.
 /// Throws listen_failed.
-[[nodiscard]] std::unique_ptr<peer_server> make_peer_server(boost::asio::any_io_executor executor,
-                                                            const endpoint& listen,
-                                                            std::string_view role,
-                                                            const peer_secret& secret);
+[[nodiscard]] std::unique_ptr<peer_server>
+make_peer_server(boost::asio::any_io_executor executor, const endpoint& listen,
+                 std::string_view role, const peer_secret& secret, port_account account = {});
 
 } // namespace oriole::links
