Merge the limits for clients that are not controlled

A bound on memory and descriptors of the whole process, limits by connection and client, and time limits for unfinished messages and unread answers.

--- a/src/entry/types/entry_settings.h
+++ b/src/entry/types/entry_settings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/types/endpoint.h"
 #include "base/types/name.h"
+#include "machines/types/process_limits.h"
 #include "usage/types/usage_settings.h"
 
 #include <optional>
@@ -28,6 +29,7 @@
     clock::duration stop_grace = std::chrono::seconds(6);
     /// nullopt when the deployment requires no usage reports.
     std::optional<usage::usage_settings> usage;
+    machines::process_limits limits;
 
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
