Forget what ended collectors have acknowledged

Cause: an instance kept a record for each collector process that it ever sent to, so its memory grew with each restart of a collector.

Change: the records of collectors that are no longer in the roles are dropped.

--- a/src/entry/internal/usage_collector.cpp
+++ b/src/entry/internal/usage_collector.cpp
@@ -135,6 +135,7 @@
     std::erase_if(m_received_directly,
                   [this](const auto& key) { return key.window < m_first_window; });
     m_own_counts.place(m_time.clock(), m_ledger);
+    forget_ended_collectors();
     if (!collects()) {
         m_collects_since.reset();
     } else if (!m_collects_since) {
@@ -142,6 +143,15 @@
     }
 }
 
+void usage_collector::forget_ended_collectors() {
+    std::set<process> current;
+    for (const auto& collector : all_collectors()) {
+        current.emplace(collector.id, collector.incarnation);
+    }
+    std::erase_if(m_deliveries,
+                  [&current](const auto& known) { return !current.contains(known.first); });
+}
+
 bool usage_collector::collects() const {
     const auto& collectors = m_fleet.usage_collectors();
     const auto zone = collectors.find(m_own.zone);
--- a/src/entry/internal/usage_collector.h
+++ b/src/entry/internal/usage_collector.h
@@ -70,6 +70,7 @@
 
     /// Places counts into windows, drops old windows and follows the roles.
     void advance();
+    void forget_ended_collectors();
     [[nodiscard]] bool collects() const;
     /// The first window of which this instance has been a collector from the start.
     [[nodiscard]] std::int64_t first_whole_window() const;
