Prefer accounts with an idle connection within a priority

A returned connection goes to the most urgent statement, whose account often has none, so that another connection is closed and a new one opened, which occupies an execution slot for about the time of a short statement.

Within a priority, statements of accounts with an idle connection now go first, as long as the account is ahead of its portion by at most the work of about four statements. A full queue also displaces requests of callers without an account.

--- a/src/contracts/admission_queue.h
+++ b/src/contracts/admission_queue.h
@@ -9,6 +9,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace oriole::contracts {
@@ -43,13 +44,15 @@
 
     /// Removes and returns the request to serve next. Requests whose deadline has passed are not
     /// returned, nor, while others wait, those with less time left than a request takes to be
-    /// served, nor those that are less urgent than `least_urgent`.
-    [[nodiscard]] virtual std::optional<admission_ticket> take(clock::time_point now,
-                                                               int least_urgent) = 0;
+    /// served, nor those that are less urgent than `least_urgent`. Within a priority those of
+    /// `preferred` accounts, which cost less to serve now, go first as far as the account's portion
+    /// of the capacity allows it.
+    [[nodiscard]] virtual std::optional<admission_ticket>
+    take(clock::time_point now, int least_urgent, const std::set<account_name>& preferred) = 0;
 
-    /// Removes and returns the request to serve next, whatever its priority.
+    /// Removes and returns the request to serve next, whatever its priority and account.
     [[nodiscard]] std::optional<admission_ticket> take(clock::time_point now) {
-        return take(now, std::numeric_limits<int>::max());
+        return take(now, std::numeric_limits<int>::max(), {});
     }
 
     /// Requests dropped since the last call because they could not meet their deadline, or to make
--- a/src/contracts/internal/fair_admission_queue.cpp
+++ b/src/contracts/internal/fair_admission_queue.cpp
@@ -24,6 +24,9 @@
 /// turn, so that it is not starved.
 constexpr double passed_over_credit = 0.1;
 
+/// Work by which an account that is preferred may be ahead of its portion.
+constexpr double max_advance = 4.0;
+
 double smooth(double average, double sample) {
     return average == 0 ? sample : average + smoothing_factor * (sample - average);
 }
@@ -64,7 +67,14 @@
 
     /// Removes and returns the request whose turn it is. Precondition: not empty, and no account's
     /// queue is empty.
-    [[nodiscard]] queue_entry take() {
+    [[nodiscard]] queue_entry take(const std::set<account_name>& preferred) {
+        const auto ahead = std::find_if(m_active.begin(), m_active.end(), [&](const auto& queue) {
+            return preferred.contains(queue.account) &&
+                   queue.deficit + max_advance >= queue.entries.front().cost;
+        });
+        if (ahead != m_active.end()) {
+            return take_front(*ahead);
+        }
         while (true) {
             account_queue& queue = m_active.front();
             if (!std::exchange(m_turn_started, true)) {
@@ -78,14 +88,14 @@
         }
     }
 
-    /// Removes the newest request of the account with the most queued cost for its weight. Returns
-    /// none if that account is `spared`.
-    [[nodiscard]] std::optional<queue_entry> displace(const account_name& spared) {
+    /// Removes the request with the latest deadline of the account with the most queued cost for
+    /// its weight. Returns none if that account is `spared`, which may be null.
+    [[nodiscard]] std::optional<queue_entry> displace(const account_name* spared) {
         const auto longest = std::max_element(m_active.begin(), m_active.end(),
                                               [](const account_queue& a, const account_queue& b) {
                                                   return a.cost / a.weight < b.cost / b.weight;
                                               });
-        if (longest == m_active.end() || longest->account == spared) {
+        if (longest == m_active.end() || (spared != nullptr && longest->account == *spared)) {
             return std::nullopt;
         }
         const queue_entry displaced = longest->entries.back();
@@ -209,15 +219,16 @@
         return ticket;
     }
 
-    [[nodiscard]] std::optional<admission_ticket> take(clock::time_point now,
-                                                       int least_urgent) override {
+    [[nodiscard]] std::optional<admission_ticket>
+    take(clock::time_point now, int least_urgent,
+         const std::set<account_name>& preferred) override {
         drop_late(now);
         const auto next = next_band(least_urgent);
         if (next == m_bands.end()) {
             reset_if_empty();
             return std::nullopt;
         }
-        const queue_entry taken = next->second.take();
+        const queue_entry taken = next->second.take(preferred);
         for (auto passed = std::next(next); passed != m_bands.end(); ++passed) {
             passed->second.add_credit(taken.cost);
         }
@@ -277,7 +288,7 @@
             return false;
         }
         const bool equal = lowest->first == arriving.priority;
-        const auto displaced = lowest->second.displace(equal ? arriving.account : account_name());
+        const auto displaced = lowest->second.displace(equal ? &arriving.account : nullptr);
         if (!displaced) {
             return false;
         }
--- a/src/contracts/tests/fair_admission_queue_test.cpp
+++ b/src/contracts/tests/fair_admission_queue_test.cpp
@@ -125,5 +125,24 @@
     EXPECT_EQ(m_queue->take_dropped(m_now).size(), 1);
 }
 
+// Guards against urgent requests that are refused because less urgent ones fill the bounded queue,
+// also those of callers without an account; and against a displaced request that nobody is told of.
+TEST_F(fair_admission_queue_test, full_queue_drops_request_of_the_lowest_priority) {
+    admission_request request{account_name(), 1, 1, m_now + seconds(10), 1};
+    while (m_queue->enqueue(request, m_now)) {
+    }
+    EXPECT_EQ(m_queue->size(), max_length);
+    request.priority = 0;
+    const auto urgent = m_queue->enqueue(request, m_now);
+    EXPECT_TRUE(urgent);
+    EXPECT_EQ(m_queue->take_dropped(m_now).size(), 1U);
+    EXPECT_EQ(m_queue->take(m_now), urgent);
+    request.priority = 2;
+    while (m_queue->size() < max_length) {
+        (void)m_queue->enqueue({account_name("a"), 1, 1, m_now + seconds(10), 1}, m_now);
+    }
+    EXPECT_FALSE(m_queue->enqueue(request, m_now));
+}
+
 } // namespace
 } // namespace oriole::contracts
--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -215,7 +215,11 @@
 void server_pool::start_waiting() {
     while (!m_slot_waiters.empty() && has_room()) {
         const auto now = steady_clock().now();
-        const auto ticket = m_schedule->start_next(now);
+        std::set<account_name> connected;
+        for (const auto& connection : m_idle) {
+            connected.insert(connection->account);
+        }
+        const auto ticket = m_schedule->start_next(now, connected);
         if (!ticket) {
             break;
         }
--- a/src/scheduling/internal/priority_server_schedule.cpp
+++ b/src/scheduling/internal/priority_server_schedule.cpp
@@ -57,12 +57,13 @@
         return ticket;
     }
 
-    [[nodiscard]] std::optional<admission_ticket> start_next(clock::time_point now) override {
+    [[nodiscard]] std::optional<admission_ticket>
+    start_next(clock::time_point now, const std::set<account_name>& connected) override {
         const auto least_urgent = least_urgent_to_start(now);
         if (!least_urgent) {
             return std::nullopt;
         }
-        const auto ticket = m_queue->take(now, *least_urgent);
+        const auto ticket = m_queue->take(now, *least_urgent, connected);
         if (!ticket) {
             return std::nullopt;
         }
--- a/src/scheduling/server_schedule.h
+++ b/src/scheduling/server_schedule.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace oriole::scheduling {
@@ -33,9 +34,10 @@
     enqueue(const statement_claim& claim, clock::time_point now) = 0;
 
     /// Removes and returns the waiting statement that starts now; none when no slot is free for one
-    /// that waits.
+    /// that waits. Within a priority, accounts with an idle connection go first as far as their
+    /// portion allows it, because opening a connection occupies a slot as well.
     [[nodiscard]] virtual std::optional<contracts::admission_ticket>
-    start_next(clock::time_point now) = 0;
+    start_next(clock::time_point now, const std::set<account_name>& connected) = 0;
 
     /// Statements refused since the last call because they could not start in time, or to make room
     /// for others.
--- a/src/scheduling/tests/server_schedule_test.cpp
+++ b/src/scheduling/tests/server_schedule_test.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
-#include <queue>
+#include <set>
 #include <string>
 
 namespace oriole::scheduling {
@@ -67,7 +67,7 @@
     }
 
     void start_waiting() {
-        while (const auto ticket = m_schedule->start_next(m_now)) {
+        while (const auto ticket = m_schedule->start_next(m_now, m_connected)) {
             const auto [load, since] = m_waiting.at(*ticket);
             begin(load, since);
         }
@@ -103,6 +103,7 @@
     std::map<admission_ticket, std::pair<offered_load, clock::time_point>> m_waiting;
     std::multimap<clock::time_point, std::pair<offered_load, clock::time_point>> m_running;
     std::map<std::string, service_share> m_shares;
+    std::set<account_name> m_connected; ///< accounts with an idle connection
 };
 
 // Load: bookings and long lookups ask for twice what the server can do, beside a few urgent orders.
@@ -132,6 +133,35 @@
     EXPECT_LT(got.at("busy").share(), 0.5);
 }
 
+// Load: the same, while only the busy account has idle connections. Guards against a preference for
+// them that leaves the other accounts without their portion.
+TEST_F(server_schedule_test, busy_account_with_connections_delays_only_itself) {
+    m_connected = {account_name("busy")};
+    std::vector<offered_load> loads{{"busy", 1, 2ms, 20ms, 100ms}};
+    for (const char* account : {"a", "b", "c"}) {
+        loads.push_back({account, 1, 25ms, 20ms, 100ms});
+    }
+    const auto got = play(loads, 10s);
+    for (const char* account : {"a", "b", "c"}) {
+        EXPECT_GE(got.at(account).share(), 0.98) << account;
+    }
+}
+
+// Guards against opening a connection, which takes a slot for as long as a short statement, while
+// another statement of the same priority could use one that is open.
+TEST_F(server_schedule_test, account_with_a_connection_goes_first_within_its_priority) {
+    m_connected = {account_name("connected")};
+    fill(0);
+    const auto urgent = m_schedule->enqueue({account_name("urgent"), 0, m_now + 1s}, m_now);
+    const auto other = m_schedule->enqueue({account_name("other"), 1, m_now + 1s}, m_now);
+    const auto connected = m_schedule->enqueue({account_name("connected"), 1, m_now + 1s}, m_now);
+    m_schedule->finish(0, statement_end::answered, 10ms, m_now); // the reserve for urgent ones
+    for (const auto& expected : {urgent, connected, other}) {
+        m_schedule->finish(0, statement_end::answered, 10ms, m_now);
+        EXPECT_EQ(m_schedule->start_next(m_now, m_connected), expected);
+    }
+}
+
 // Load: long statements fill the server while urgent ones arrive now and then. Guards against an
 // urgent statement that finds all slots taken by long ones.
 TEST_F(server_schedule_test, long_statements_leave_a_slot_to_urgent_ones) {
