Keep the slots of timed-out statements while their server answers others

A server that is slow but alive still executes what timed out, and the freed slots were used to send it more; one broken connection also emptied a queue.

Slots of timed-out statements are freed, and the queue is refused, only when nothing was answered since the statement was sent. routing (46) passes.

--- a/src/routing/internal/server_exchange.cpp
+++ b/src/routing/internal/server_exchange.cpp
@@ -180,7 +180,11 @@
                                           exchange_plan plan, clock::duration limit) {
     exchange_run run(pool, connection, limit);
     auto result = co_await run.run(std::move(plan));
-    pool.end_statement(connection, end_of(result));
+    if (result.status != exchange_status::timed_out || pool.failing()) {
+        // A server that answers others may still be executing a statement that it did not answer in
+        // time.
+        pool.end_statement(connection, end_of(result));
+    }
     co_return result;
 }
 
--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -378,7 +378,6 @@
         m_failing_since = now;
     }
     m_retry_at = now + retry_interval;
-    refuse_all_slot_waiters();
 }
 
 fleet::primary_evidence server_pool::evidence(clock::time_point now) const {
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -117,13 +117,15 @@
     /// answered any other connection meanwhile; requests that wait for a slot are refused then.
     void mark_timed_out(const pooled_connection& connection, clock::time_point now);
 
-    /// Records that the server could not be reached or its connection broke. Refuses the requests
-    /// that wait for a slot.
+    /// Records that the server could not be reached or its connection broke.
     void mark_failed(clock::time_point now);
 
     /// Returns the age of the server's last answer and for how long the server has been failing.
     [[nodiscard]] fleet::primary_evidence evidence(clock::time_point now) const;
 
+    /// Returns whether the server has failed since its last answer.
+    [[nodiscard]] bool failing() const noexcept { return m_failing_since.has_value(); }
+
     /// Returns whether the server has been failing, so that other servers are preferred. A failed
     /// server is not suspected when it is due to be probed again.
     [[nodiscard]] bool suspected(clock::time_point now) const;
