Mend what a reader of the whole diff found

Found by reading, not seen in a run: counts of a usage window could be reported for another after true time jumped; a replaced order was read and written without a pause; a wait that ended here lowered a server's slots as if the server had refused; a refused opening did not count against the retry budget; answers of a coordinator that overlap discarded one another's admissions; an exception at the port for probes left a pointer to its stream; reservations of no bytes were looked up; admissions of accounts that left were kept.

The intervals of the deliveries of counts stand once, for the product and the model of killed instances. Unit tests print nothing.

--- a/src/entry/internal/advance_admissions.cpp
+++ b/src/entry/internal/advance_admissions.cpp
@@ -28,13 +28,14 @@
 }
 
 void advance_admissions::record_answer(int admitted, clock::time_point now) {
-    if (admitted > 1) {
-        m_remaining = admitted - 1;
-        m_expires_at = now + prefetch_lifetime;
-    }
     if (admitted == 0) {
         m_refused_until = now + refusal_lifetime;
+        return;
     }
+    // Calls may overlap, so an earlier answer may not be used up yet.
+    m_remaining = (m_expires_at > now ? m_remaining : 0) + admitted - 1;
+    m_expires_at = now + prefetch_lifetime;
+    m_refused_until = {};
 }
 
 void advance_admissions::end_interval() {
--- a/src/entry/internal/traffic_context.cpp
+++ b/src/entry/internal/traffic_context.cpp
@@ -335,6 +335,8 @@
         m_limiter->remove(known.first);
         return true;
     });
+    std::erase_if(m_advance_admissions,
+                  [this](const auto& known) { return !m_view->shares.contains(known.first); });
 }
 
 } // namespace oriole::entry
--- a/src/entry/internal/usage_collector.cpp
+++ b/src/entry/internal/usage_collector.cpp
@@ -2,6 +2,8 @@
 
 #include "entry/internal/usage_collector.h"
 
+#include "usage/delivery_intervals.h"
+
 #include "entry/internal/pause.h"
 #include "entry/usage_message_codec.h"
 
@@ -20,12 +22,6 @@
 constexpr const char* entries_method = "usage_entries";
 constexpr const char* order_method = "usage_order";
 
-/// A killed instance loses the counts of up to this time and of the hand-over between its threads:
-/// together less than a tenth of a window of 5 s.
-constexpr clock::duration delivery_interval = 200ms;
-/// When all collectors of a zone are killed, the counts of its killed instances are lost back to
-/// the last relay. A shorter interval means more bytes between zones.
-constexpr clock::duration relay_interval = 1s;
 constexpr clock::duration call_limit = 500ms;
 /// An instance whose zone has had no collector in reach for this long sends its counts to those of
 /// other zones.
@@ -56,7 +52,7 @@
 
 asio::awaitable<void> usage_collector::deliver_regularly() {
     while (true) {
-        co_await pause(m_executor, delivery_interval);
+        co_await pause(m_executor, usage::delivery_interval);
         deliver_all();
     }
 }
@@ -71,7 +67,7 @@
 
 asio::awaitable<void> usage_collector::relay_regularly() {
     while (true) {
-        co_await pause(m_executor, relay_interval);
+        co_await pause(m_executor, usage::relay_interval);
         const auto& collectors = m_fleet.usage_collectors();
         const auto zone = collectors.find(m_own.zone);
         const bool leads = zone != collectors.end() && zone->second.front().id == m_own.id;
@@ -164,7 +160,7 @@
 }
 
 std::vector<fleet::registered_instance> usage_collector::delivery_targets() const {
-    const bool zone_lost = boot_clock().now() - m_zone_reached_at > zone_lost_after;
+    const bool zone_lost = !collects() && boot_clock().now() - m_zone_reached_at > zone_lost_after;
     std::vector<fleet::registered_instance> targets;
     for (const auto& collector : all_collectors()) {
         if (collector.zone == m_own.zone || zone_lost) {
--- a/src/entry/internal/usage_reporter.cpp
+++ b/src/entry/internal/usage_reporter.cpp
@@ -114,7 +114,7 @@
         if (recorded) {
             m_duty.order_recorded(*recorded, asked);
         } else {
-            m_duty.order_replaced();
+            m_duty.order_replaced(m_sources.situation().now);
         }
     } catch (const store_unavailable& failure) {
         log_failure("record_order", window, failure.what());
--- a/src/entry/tests/advance_admissions_test.cpp
+++ b/src/entry/tests/advance_admissions_test.cpp
@@ -88,6 +88,18 @@
     EXPECT_EQ(sender.decide(now + 50ms), decision::unknown);
 }
 
+// Guards against admissions of the coordinator that a second answer discards.
+TEST_F(advance_admissions_test, overlapping_answers_add_up) {
+    advance_admissions sender;
+    const clock::time_point now(1h);
+    sender.record_answer(3, now);
+    sender.record_answer(3, now);
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(sender.decide(now), decision::admitted);
+    }
+    EXPECT_EQ(sender.decide(now), decision::unknown);
+}
+
 // Guards against operations that are admitted long before they begin.
 TEST_F(advance_admissions_test, admission_in_advance_expires) {
     advance_admissions sender;
--- a/src/entry/tests/usage_reporter_test.cpp
+++ b/src/entry/tests/usage_reporter_test.cpp
@@ -98,6 +98,7 @@
                               m_authority,         m_log,  m_metrics};
 };
 
+// Guards against a window that is recorded but never sent or announced.
 TEST_F(usage_reporter_test, due_window_is_recorded_sent_announced_and_logged) {
     run_due_steps();
     ASSERT_EQ(m_authority.sent.size(), 1U);
--- a/src/links/internal/http_admin_server.cpp
+++ b/src/links/internal/http_admin_server.cpp
@@ -84,6 +84,7 @@
 
     [[nodiscard]] asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream) {
         const auto holder = std::make_shared<stream_holder>(*stream);
+        const stream_attachment attachment(holder);
         std::unique_ptr<machines::resource_holding> holding;
         if (m_resources != nullptr) {
             holding = m_resources->open(machines::client_port::admin, holder);
@@ -107,7 +108,6 @@
                                        asio::redirect_error(asio::use_awaitable, error));
             more = !error && reply.keep_alive();
         }
-        holder->detach();
         stream->socket().shutdown(tcp::socket::shutdown_both, error);
     }
 
--- a/src/links/internal/stream_holder.h
+++ b/src/links/internal/stream_holder.h
@@ -35,4 +35,20 @@
     boost::asio::any_io_executor m_executor = m_stream->get_executor();
 };
 
+/// Detaches the holder at the end of a scope, also when an exception ends it. Declared after the
+/// stream.
+class stream_attachment {
+public:
+    explicit stream_attachment(std::shared_ptr<stream_holder> holder)
+        : m_holder(std::move(holder)) {}
+
+    ~stream_attachment() { m_holder->detach(); }
+
+    stream_attachment(const stream_attachment&) = delete;
+    stream_attachment& operator=(const stream_attachment&) = delete;
+
+private:
+    std::shared_ptr<stream_holder> m_holder;
+};
+
 } // namespace oriole::links
--- a/src/links/internal/tcp_peer_server.cpp
+++ b/src/links/internal/tcp_peer_server.cpp
@@ -108,6 +108,7 @@
                                self->m_key);
     self->m_connections.insert(&connection);
     const auto holder = std::make_shared<stream_holder>(connection.stream);
+    const stream_attachment attachment(holder);
     if (self->m_account.resources != nullptr) {
         connection.holding = self->m_account.resources->open(self->m_account.port, holder);
         if (connection.holding == nullptr) {
@@ -123,7 +124,6 @@
         LOG_EVERY_N(WARNING, refusals_per_log_line)
             << "peer connection closed; reason=\"" << refusal.what() << "\"";
     }
-    holder->detach();
     self->m_connections.erase(&connection);
 }
 
--- a/src/machines/internal/resource_account.cpp
+++ b/src/machines/internal/resource_account.cpp
@@ -210,6 +210,9 @@
     auto& total = m_running.at(static_cast<std::size_t>(kind));
     total.bytes -= bytes;
     const auto known = total.by_client.find(client);
+    if (known == total.by_client.end()) {
+        return; // Reservations of no bytes are not kept by client.
+    }
     known->second -= bytes;
     if (known->second == 0) {
         total.by_client.erase(known);
--- a/src/routing/internal/server_pool.cpp
+++ b/src/routing/internal/server_pool.cpp
@@ -153,8 +153,9 @@
     if (grant.connection) {
         occupy_slot(*grant.connection, priority);
     } else {
-        const auto end = grant.refusal == answer_code::busy ? scheduling::statement_end::refused
-                                                            : scheduling::statement_end::unknown;
+        const bool refused_by_server = grant.opened && grant.refusal == answer_code::busy;
+        const auto end = refused_by_server ? scheduling::statement_end::refused
+                                           : scheduling::statement_end::unknown;
         m_schedule->finish(priority, end, clock::duration::zero(), steady_clock().now());
         start_waiting();
     }
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -170,6 +170,8 @@
     auto grant =
         co_await pool->acquire(m_run.account, m_run.values, deadline, m_run.route->priority);
     m_refused_here += grant.overloaded ? 1 : 0;
+    m_refused_by_server =
+        m_refused_by_server || (grant.opened && grant.refusal == answer_code::busy);
     if (grant.connection && grant.opened) {
         m_service.record_open(grant.open_time, steady_clock().now());
     }
--- a/src/scheduling/internal/server_choice.cpp
+++ b/src/scheduling/internal/server_choice.cpp
@@ -11,8 +11,8 @@
 
 using seconds = std::chrono::duration<double>;
 
-/// Part of the latency target by which a server of another zone has to be faster: bytes between
-/// zones are dear, and a caller does not notice less.
+/// Part of the latency target by which a server of another zone has to be faster, because traffic
+/// between zones is charged and a caller does not notice less.
 constexpr double other_zone_cost = 0.05;
 /// The primary has the writes of all zones, which no other server can take.
 constexpr double primary_cost = other_zone_cost / 2;
--- a/src/scheduling/internal/server_health.cpp
+++ b/src/scheduling/internal/server_health.cpp
@@ -10,7 +10,7 @@
 
 /// Statements lose half of their weight in this time.
 constexpr seconds statement_half_life = 2s;
-/// A server that fails a smaller share serves its callers better than a longer way does.
+/// Below this share of failures, ejection costs callers more than it saves.
 constexpr double bad_share_to_eject = 0.25;
 /// Fewer bad statements than this may be due to one connection.
 constexpr double bad_to_eject = 3;
--- a/src/scheduling/tests/even_load_test.cpp
+++ b/src/scheduling/tests/even_load_test.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <iostream>
 #include <numeric>
 
 namespace oriole::scheduling {
@@ -108,14 +107,6 @@
         return m_totals;
     }
 
-    static void show(const std::string& load, const totals& weighted, const totals& ranked) {
-        for (const auto& [name, seen] : {std::pair("weighted", &weighted), {"ranked", &ranked}}) {
-            std::cout << load << ", " << name << ": worst share " << seen->worst_share
-                      << ", longest mean queue " << seen->longest_queue << ", in time "
-                      << seen->share_in_time() << ", failed " << seen->share_failed() << '\n';
-        }
-    }
-
     static constexpr int play_ms = 8000;
     /// A share of the worst of three servers that leaves the others a fair part.
     static constexpr double most_uneven_share = 0.4;
@@ -218,7 +209,6 @@
         m_answer_age_ms = age_ms;
         const auto weighted = play(choice_kind::weighted, even_demand);
         const auto ranked = play(choice_kind::ranked, even_demand);
-        show("equal servers, age " + std::to_string(age_ms), weighted, ranked);
         EXPECT_LT(weighted.worst_share, most_uneven_share) << "at age " << age_ms;
         EXPECT_GT(ranked.worst_share, most_uneven_share) << "at age " << age_ms;
         EXPECT_GT(weighted.share_in_time(), 0.98) << "at age " << age_ms;
@@ -230,7 +220,6 @@
     const std::vector<double> burst{0.32, 0.04, 0.04};
     const auto weighted = play(choice_kind::weighted, burst);
     const auto ranked = play(choice_kind::ranked, burst);
-    show("burst", weighted, ranked);
     EXPECT_LT(weighted.longest_queue, slots);
     EXPECT_GT(ranked.longest_queue, slots);
 }
@@ -241,7 +230,6 @@
     const std::vector<double> demand{0.08, 0.08, 0.08};
     const auto weighted = play(choice_kind::weighted, demand);
     const auto ranked = play(choice_kind::ranked, demand);
-    show("slow server", weighted, ranked);
     EXPECT_GT(weighted.share_in_time(), 0.95);
     EXPECT_LT(ranked.share_in_time(), 0.95);
 }
@@ -253,7 +241,6 @@
     const auto weighted = play(choice_kind::weighted, even_demand);
     m_failures_are_known = false;
     const auto unjudged = play(choice_kind::weighted, even_demand);
-    show("grey server, failures unknown in the second", weighted, unjudged);
     EXPECT_LT(weighted.share_failed(), 0.03);
     EXPECT_GT(unjudged.share_failed(), 0.03);
     EXPECT_GT(weighted.received[0], 10);
--- a/src/usage/internal/report_duty.cpp
+++ b/src/usage/internal/report_duty.cpp
@@ -91,9 +91,10 @@
     learn({order.report.window, order.fence, order.holder, {}, false}, asked);
 }
 
-void report_duty::order_replaced() {
+void report_duty::order_replaced(clock::time_point now) {
     m_order.reset();
     m_gathered.reset();
+    m_not_before = now + retry_pause;
 }
 
 void report_duty::report_answered(const usage_order& order, usage_result result,
@@ -151,7 +152,11 @@
 void report_duty::skip_past_windows(const report_situation& situation) {
     const auto current = window_at(*situation.time, m_settings.window);
     if (!m_window || *m_window < current - max_windows_back || *m_window > current) {
+        // What is known of the former window must not be reported for this one.
         m_window = current;
+        m_gathered.reset();
+        m_reason = miss_reason::late;
+        m_responsible = false;
     }
     const auto limit = m_settings.late_limit - late_margin;
     while (window_end(*m_window, m_settings.window) + limit <= *situation.time) {
--- a/src/usage/report_duty.h
+++ b/src/usage/report_duty.h
@@ -37,7 +37,7 @@
     void order_recorded(const usage_order& order, clock::time_point asked);
 
     /// Another instance replaced the order first, or the store was restored.
-    void order_replaced();
+    void order_replaced(clock::time_point now);
 
     /// The platform answered the report of the order.
     void report_answered(const usage_order& order, usage_result result,
--- a/src/usage/tests/killed_share_test.cpp
+++ b/src/usage/tests/killed_share_test.cpp
@@ -1,10 +1,10 @@
+#include "usage/delivery_intervals.h"
 #include "usage/delivery_record.h"
 #include "usage/usage_ledger.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <iostream>
 #include <random>
 #include <set>
 #include <vector>
@@ -17,15 +17,15 @@
 
 constexpr ms window_length = 5000;
 constexpr ms report_delay = 2000;
-constexpr ms delivery_interval = 200;
-constexpr ms relay_interval = 1000;
+constexpr ms delivery_period = delivery_interval.count();
+constexpr ms relay_period = relay_interval.count();
 /// Time until an operation is counted: the answer and the hand-over to the control thread.
 constexpr ms counting_delay = 100;
 constexpr int zones = 3;
 constexpr int instances_per_zone = 25;
 constexpr int counting_per_zone = 8;
 constexpr int collectors_per_zone = 3;
-constexpr double usage_off = 0.05;
+constexpr double max_lost_share = 0.05;
 
 /// The instances of a site during one window. The counting instances run one operation every 20 ms
 /// each; collectors are the first instances of a zone.
@@ -49,7 +49,7 @@
             instance.zone = i / instances_per_zone;
             instance.counts = place >= instances_per_zone - counting_per_zone;
             instance.collects = place < collectors_per_zone;
-            instance.phase = below(delivery_interval / 10) * 10;
+            instance.phase = below(delivery_period / 10) * 10;
             instance.ledger.keep(0, 0);
             m_instances.push_back(std::move(instance));
         }
@@ -155,12 +155,12 @@
             if (instance.counts && began && now % 20 == 0) {
                 instance.ledger.add(key_of(static_cast<int>(i)), account_name("a"), 1);
             }
-            if (instance.counts && (now + instance.phase) % delivery_interval == 0) {
+            if (instance.counts && (now + instance.phase) % delivery_period == 0) {
                 deliver(static_cast<int>(i));
             }
         }
         for (int zone = 0; zone < zones; ++zone) {
-            if ((now + zone * relay_interval / zones) / 10 % (relay_interval / 10) == 0) {
+            if ((now + zone * relay_period / zones) / 10 % (relay_period / 10) == 0) {
                 relay(zone);
             }
         }
@@ -206,9 +206,7 @@
 TEST_F(killed_share_test, tenth_or_third_of_the_instances_killed_stays_within_the_tolerance) {
     for (const double share : {0.10, 0.35}) {
         const auto lost = lost_shares(share);
-        std::cout << "killed " << share << ": lost median " << lost[50] << ", 95% " << lost[95]
-                  << ", most " << lost.back() << "\n";
-        EXPECT_LE(lost.back(), usage_off);
+        EXPECT_LE(lost.back(), max_lost_share) << "killed " << share;
     }
 }
 
@@ -216,9 +214,7 @@
 // among them, and then its counts since the last relay are lost.
 TEST_F(killed_share_test, most_instances_killed_stays_within_the_tolerance_in_most_cases) {
     const auto lost = lost_shares(0.60);
-    std::cout << "killed 0.6: lost median " << lost[50] << ", 90% " << lost[90] << ", 95% "
-              << lost[95] << ", most " << lost.back() << "\n";
-    EXPECT_LE(lost[50], usage_off);
+    EXPECT_LE(lost[50], max_lost_share);
 }
 
 } // namespace
--- a/src/usage/tests/report_duty_test.cpp
+++ b/src/usage/tests/report_duty_test.cpp
@@ -84,7 +84,7 @@
             if (const auto recorded = record(task.order)) {
                 duty.order_recorded(*recorded, m_now);
             } else {
-                duty.order_replaced();
+                duty.order_replaced(m_now);
             }
             break;
         case report_step::send_report:
@@ -161,6 +161,7 @@
     std::vector<usage_order> m_sent;
 };
 
+// Guards against a window that is reported twice or not at all.
 TEST_F(report_duty_test, first_candidate_reports_each_window_once) {
     run("a", 7900ms);
     EXPECT_EQ(m_accepted.size(), 2U);
--- a/src/usage/tests/window_clock_test.cpp
+++ b/src/usage/tests/window_clock_test.cpp
@@ -69,6 +69,7 @@
     EXPECT_LT(std::chrono::abs(error()), 10ms);
 }
 
+// Guards against an only instance that never reports, or whose windows follow steps of its clock.
 TEST_F(window_clock_test, single_clock_is_believed_after_a_wait_and_its_steps_are_ignored) {
     run(1s, {0s});
     EXPECT_FALSE(m_clock.at(m_now));
--- a/tests/process/crowd_fixtures.py
+++ b/tests/process/crowd_fixtures.py
@@ -109,6 +109,7 @@
                       instance.gateway_port}
         self.most_mb = 0.0
         self.most_descriptors = 0
+        self.lost_process = False
         self.ended = threading.Event()
         self.thread = threading.Thread(target=self.sample, daemon=True)
         self.thread.start()
@@ -118,7 +119,9 @@
             try:
                 self.take()
             except (OSError, AttributeError):
-                return  # The process has ended.
+                # Files of a process that has ended are missing or have no memory in them.
+                self.lost_process = True
+                return
 
     def take(self):
         used = self.resident_mb("VmRSS") + self.unread_mb()
@@ -195,6 +198,7 @@
         before the crowd keeps its session, and a new one is served."""
         self.assert_served()
         self.assertIsNone(self.calm.run("READ a").error)
+        self.assertFalse(self.usage.lost_process, "the sampling ended before the test")
         self.usage.stop()
         found = f"{self.usage.most_mb:.0f} MB, {self.usage.most_descriptors} descriptors"
         print(f"{self.id()}: {found}", flush=True)
