Keep the set of running statements as long as their coroutines

Cause: a statement that still runs for another instance at the end of a stop takes itself out of its gateway's set when its coroutine is destroyed.

The set is shared with the statements.

--- a/src/entry/internal/gateway_service.cpp
+++ b/src/entry/internal/gateway_service.cpp
@@ -29,12 +29,13 @@
 public:
     using handover_set = std::set<std::shared_ptr<routing::statement_handover>>;
 
-    running_statement(handover_set& running, std::shared_ptr<routing::statement_handover> handover)
-        : m_running(running), m_handover(std::move(handover)) {
-        m_running.insert(m_handover);
+    running_statement(std::shared_ptr<handover_set> running,
+                      std::shared_ptr<routing::statement_handover> handover)
+        : m_running(std::move(running)), m_handover(std::move(handover)) {
+        m_running->insert(m_handover);
     }
 
-    ~running_statement() { m_running.erase(m_handover); }
+    ~running_statement() { m_running->erase(m_handover); }
 
     [[nodiscard]] bool withdrawn_unsent() const noexcept { return m_handover->withdrawn_unsent(); }
 
@@ -42,7 +43,7 @@
     running_statement& operator=(const running_statement&) = delete;
 
 private:
-    handover_set& m_running;
+    std::shared_ptr<handover_set> m_running;
     std::shared_ptr<routing::statement_handover> m_handover;
 };
 
@@ -130,7 +131,7 @@
 }
 
 void gateway_service::withdraw_waiting() {
-    for (const auto& handover : m_running) {
+    for (const auto& handover : *m_running) {
         handover->withdraw();
     }
 }
--- a/src/entry/internal/gateway_service.h
+++ b/src/entry/internal/gateway_service.h
@@ -42,9 +42,13 @@
     [[nodiscard]] endpoint address() const { return m_server->address(); }
 
     /// Returns whether no statement is running and no transaction is open for another instance.
-    [[nodiscard]] bool idle() const noexcept { return m_running.empty() && m_transactions.empty(); }
+    [[nodiscard]] bool idle() const noexcept {
+        return m_running->empty() && m_transactions.empty();
+    }
 
 private:
+    using handover_set = std::set<std::shared_ptr<routing::statement_handover>>;
+
     struct held_transaction {
         std::unique_ptr<statement_transaction> transaction;
         account_name account;
@@ -70,7 +74,9 @@
     /// transaction, so that an error ends both.
     std::map<std::uint64_t, held_transaction> m_transactions;
     std::unique_ptr<random_source> m_random = make_random_source();
-    std::set<std::shared_ptr<routing::statement_handover>> m_running; ///< of the running statements
+    /// Of the running statements. Shared with them, as their coroutines may be destroyed after this
+    /// object, when the executor ends.
+    std::shared_ptr<handover_set> m_running = std::make_shared<handover_set>();
     bool m_leaving = false;
 };
 
