Close idle connections to all servers when one falls silent

After connections had gone silent, callers were answered ABORTED after 400 ms although each instance had been served before.

Cause: reads used to go to one server of a fixed ranking. Now they are spread, and each of the other servers had to be found silent by a statement of its own.

When a statement ends without an answer and its server has answered nothing since, connections to the service's other servers that have been idle since then are closed too. A server that is only slow changes nothing.

--- a/src/routing/internal/service_traffic.cpp
+++ b/src/routing/internal/service_traffic.cpp
@@ -139,6 +139,18 @@
     }
 }
 
+void service_traffic::record_silence(const server_pool& server) {
+    const auto since = server.failing_since();
+    if (!since) {
+        return;
+    }
+    for (const auto& [id, pool] : m_pools) {
+        if (pool.get() != &server) {
+            pool->close_idle_since(*since);
+        }
+    }
+}
+
 void service_traffic::refuse_waiting() {
     for (const auto& [id, pool] : m_pools) {
         pool->refuse_waiting();
--- a/src/routing/internal/statement_router.cpp
+++ b/src/routing/internal/statement_router.cpp
@@ -361,6 +361,9 @@
                                      bool proves) {
     const auto& answer = result.answer;
     m_refused_by_server = m_refused_by_server || answer.code == answer_code::busy;
+    if (result.status == exchange_status::timed_out) {
+        m_service.record_silence(pool);
+    }
     if (answer.code == answer_code::lagging && required) {
         m_service.record_lag(pool, *required, steady_clock().now());
     } else if (answer.code == answer_code::read_only && !required) {
--- a/src/routing/internal/statement_runner.cpp
+++ b/src/routing/internal/statement_runner.cpp
@@ -87,6 +87,9 @@
     if (!transaction.at_primary) {
         service.record_read(pool, result, *run.route, true, steady_clock().now());
     }
+    if (result.status == exchange_status::timed_out) {
+        service.record_silence(pool);
+    }
     const bool may_be_committed = commits && transaction.wrote;
     if (transaction.at_primary && (!commits || may_be_committed) &&
         result.status == exchange_status::answered && result.answer.code == answer_code::ok &&
--- a/src/routing/server_pool.h
+++ b/src/routing/server_pool.h
@@ -147,6 +147,14 @@
         return static_cast<int>(m_unanswered_since.size() + waiting());
     }
 
+    /// Time of the first failure since the server's last answer; nullopt when it is not failing.
+    [[nodiscard]] std::optional<clock::time_point> failing_since() const noexcept {
+        return m_failing_since;
+    }
+
+    /// Closes the idle connections that have not been used since `time`.
+    void close_idle_since(clock::time_point time);
+
     /// Closes connections that have been idle for longer than unused_connection_lifetime, so that
     /// they do not use up the server's connection limit, which all instances share.
     void close_unused(clock::time_point now);
@@ -192,8 +200,6 @@
     /// Confirms the connection in the background, then returns it to the pool or closes it.
     void release_after_confirmation(std::unique_ptr<pooled_connection> connection);
     void close_connection(pooled_connection& connection);
-    /// Closes the idle connections that have not been used since `time`.
-    void close_idle_since(clock::time_point time);
     void serve_waiters();
 
     boost::asio::any_io_executor m_executor;
--- a/src/routing/service_traffic.h
+++ b/src/routing/service_traffic.h
@@ -118,6 +118,11 @@
     /// whose result is given.
     void record_run(const account_name& account, const exchange_result& result);
 
+    /// Records that a statement ended without an answer. If the server has answered nothing since,
+    /// what silenced it may have silenced the connections to the others too: those that have been
+    /// idle since then are closed, so that no further statement waits on one of them.
+    void record_silence(const server_pool& server);
+
     /// Refuses the requests that wait for a connection.
     void refuse_waiting();
 
--- a/src/routing/tests/statement_runner_test.cpp
+++ b/src/routing/tests/statement_runner_test.cpp
@@ -266,6 +266,17 @@
     EXPECT_LE(at_replica, 4);
 }
 
+// Guards against statements that time out one after the other, each on a silent connection to
+// another server.
+TEST_F(statement_runner_test, silent_server_ends_idle_connections_to_the_others) {
+    prove({1, 10});
+    ASSERT_EQ(run_autocommit("WRITE a b", true).answer.code, answer_code::ok);
+    m_servers.at("replica").no_answer_to = command_kind::caller_statement;
+    ASSERT_NE(run_autocommit("READ a").answer.code, answer_code::ok);
+    ASSERT_EQ(run_autocommit("WRITE a b", true).answer.code, answer_code::ok);
+    EXPECT_EQ(m_servers.at("primary").opened, 2);
+}
+
 // Guards against a single attempt where statements are not scheduled.
 TEST_F(statement_runner_test, refused_statement_is_repeated_while_there_is_time) {
     m_servers.at("primary").busy_statements = 2;
