--- a/src/routing/internal/statement_runner.cpp
+++ b/src/routing/internal/statement_runner.cpp
@@ -35,6 +35,21 @@
     return outcome;
 }
 
+/// The answer code of a statement of a transaction that failed, which ends the transaction.
+answer_code code_after_failure(exchange_status status, answer_code code, bool commits) {
+    switch (status) {
+    case exchange_status::timed_out:
+        return answer_code::timed_out;
+    case exchange_status::connection_lost:
+        return commits ? answer_code::in_doubt : answer_code::aborted;
+    case exchange_status::not_run:
+        return answer_code::aborted;
+    case exchange_status::answered:
+        break;
+    }
+    return code;
+}
+
 } // namespace
 
 open_transaction::~open_transaction() {
@@ -121,13 +136,7 @@
     }
     outcome.transaction_finished = true;
     pool.discard(std::move(transaction.connection));
-    if (result.status == exchange_status::timed_out) {
-        answer.code = answer_code::timed_out;
-    } else if (result.status == exchange_status::connection_lost) {
-        answer.code = commits ? answer_code::in_doubt : answer_code::aborted;
-    } else if (result.status == exchange_status::not_run) {
-        answer.code = answer_code::aborted;
-    }
+    answer.code = code_after_failure(result.status, answer.code, commits);
     co_return outcome;
 }
 
