--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,11 @@
-"""Machines were removed for good and replaced, one after the other, while all went well. Some time
-later all processes are killed at the same moment and start again."""
+"""A machine is added while one account asks for more than its rate. The store answers reads with
+`serializable` from a copy that is some seconds old, as the pages allow."""
 
 import asyncio
+import bisect
+import collections
 import itertools
 import os
-import random
-import signal
-import socket
 import sys
 import time
 
@@ -14,145 +13,141 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-2"))
 
 import site_2  # noqa: E402
-from site_2 import LOOPBACK, TROUBLE, CannotRun, Platform, Session, SessionLost, Site, wait_for  # noqa: E402
+from site_2 import TROUBLE, CannotRun, Platform, Session, SessionLost, Site  # noqa: E402
+from users_platform import backend, platform as platform_module, store as store_module  # noqa: E402
+
+STALE_S = 3.0          # age of the answers to reads with `serializable`
+RATE, BURST = 150, 150  # of each account; the site's sheet has bursts of a second
+WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20  # quota_window_s, quota_overage, quota_slack
+HOT_S = 8.0            # how long the account asks for many times its usual
+SESSIONS = 12          # of the hot account, at each instance
+PAUSE_S = 0.1          # of a session between two operations
+LISTED_S = STALE_S + 6  # until the instances have listed each other
+OLD = (("front-a-1", "zone-a"), ("front-a-2", "zone-a"), ("front-a-3", "zone-a"),
+       ("front-b-1", "zone-b"), ("front-b-2", "zone-b"), ("front-b-3", "zone-b"),
+       ("front-c-1", "zone-c"), ("front-c-2", "zone-c"))
+ADDED = (("front-a-4", "zone-a"), ("front-b-4", "zone-b"), ("front-c-3", "zone-c"))
+ACCOUNT = "tenant-13"
+
+
+class StaleStore(store_module.Store):
+    """Keeps what it held, so that a list with `serializable` shows it as it was STALE_S ago."""
 
-REPLACED = 80          # machines that were removed for good, one after the other
-FORGOTTEN_S = 40.0     # the instances that run have dropped the removed ones by then
-RECOVER_S = 12.0       # recover_s
-MEASURED_S = 5.0
-DEADLINE_S = 1.0       # of a client
-ATTEMPTS = 3           # a client's first attempt and its retries
-# Half of the site's: rates of eight accounts, which ask for the rate divided by QUOTA_X.
-RATES = {"tenant-1": 102, "tenant-2": 59, "tenant-3": 43, "tenant-4": 37, "tenant-5": 34,
-         "tenant-6": 28, "tenant-7": 22, "tenant-8": 19}
-QUOTA_X = 1.6
-MACHINES = (("a", 3), ("b", 3), ("c", 2))
+    def __init__(self):
+        super().__init__()
+        self.copies = [(time.monotonic() - 60, self.revision, {})]
+
+    async def put(self, kind, name, spec):
+        await super().put(kind, name, spec)
+        self.copies.append((time.monotonic(), self.revision,
+                            {key: dict(value) for key, value in self.objects.items()}))
+
+    async def answer(self, method, path, query, headers, body):
+        kind, _, name = path.removeprefix(store_module.PREFIX).partition("/")
+        if method != "GET" or name or "watch" in query or query.get("serializable") != "1":
+            return await super().answer(method, path, query, headers, body)
+        asked = time.monotonic() - STALE_S
+        _, revision, objects = self.copies[bisect.bisect(self.copies, asked, key=lambda c: c[0]) - 1]
+        items = [item for key, item in sorted(objects.get(kind, {}).items())
+                 if key > query.get("after", "")]
+        return 200, {"items": items, "has_more": False, "current_rev": revision}
+
+
+RUNS = {}  # request id: when it arrived at a server that ran it
 
 
-class SilentPorts:
-    """Ports of machines without power: a connection to them gets no answer at all."""
+class TimedConnection(backend.Connection):
+    def record_execution(self, request_id, words):
+        RUNS.setdefault(request_id, time.monotonic())
+
+
+class Traffic:
+    """Sessions that read, each one operation after the other."""
 
     def __init__(self):
-        self.sockets = []
-
-    def add(self, port):
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((LOOPBACK, port))
-        listener.listen(0)
-        self.sockets.append(listener)
-        for _ in range(3):  # They fill the queue, so that the kernel drops further packets.
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((LOOPBACK, port))
-            self.sockets.append(filler)
-
-
-class Clients:
-    def __init__(self, site, record):
-        self.site, self.record = site, record
         self.ids = itertools.count(1)
-        self.random = random.Random(1)
-        self.outcomes = []
+        self.sent = {}
+        self.answered = {}
+        self.end = 0.0
 
-    async def attempt(self, instance, account, request_id):
+    async def ask(self, port, first_pause):
+        await asyncio.sleep(first_pause)
         session = None
-        try:
-            session = await Session.open(instance.callers, "own", f"{account}-key")
-            error, *_ = await session.run(request_id, "READ item")
-            return error or "OK"
-        except SessionLost:
-            return "no answer"
-        finally:
-            if session is not None:
-                session.close()
-
-    async def operation(self, account):
-        sent = time.monotonic()
-        result, tries = "deadline", []
-        for instance in self.random.sample(self.site.instances, ATTEMPTS):
-            left = sent + DEADLINE_S - time.monotonic()
-            if left <= 0:
-                break
-            request_id = f"{next(self.ids):x}"
+        while time.monotonic() < self.end:
             try:
-                result = await asyncio.wait_for(self.attempt(instance, account, request_id), left)
-            except asyncio.TimeoutError:
-                result = "deadline"
-            tries.append(f"{request_id}={result}")
-            if result in ("OK", "deadline"):
-                break
-        self.outcomes.append(result)
-        self.record.write(f"{account} sent {sent - self.record.started:.3f}: {', '.join(tries)}")
-
-    async def run(self, seconds):
-        """The share of the operations that are served."""
-        self.outcomes = []
-        end = time.monotonic() + seconds
-        tasks = set()
-
-        async def ask(account, gap):
-            await asyncio.sleep(gap * self.random.random())
-            while time.monotonic() < end:
-                tasks.add(asyncio.create_task(self.operation(account)))
-                await asyncio.sleep(gap)
-
-        await asyncio.gather(*(ask(account, QUOTA_X / rate) for account, rate in RATES.items()))
-        await asyncio.gather(*tasks)
-        counts = {name: self.outcomes.count(name) for name in sorted(set(self.outcomes))}
-        return self.outcomes.count("OK") / len(self.outcomes), counts
-
-
-def replace(site, silent, number):
-    """Removes a machine for good, without SIGTERM, and adds another one in its zone."""
-    old = site.instances.pop(number % len(site.instances))
-    registered = site.platform.store.objects.get("oriole-instances", {})
-    wait_for(lambda: old.name in registered, 10.0, f"entry of {old.name}")
-    old.kill()
-    for port in (old.peers, old.gateway):
-        silent.add(port)
-    site.add(f"front-{old.zone[-1]}-{100 + number}", old.zone)
+                session = session or await Session.open(port, "own", f"{ACCOUNT}-key")
+                request_id = f"{next(self.ids):x}"
+                self.sent[request_id] = time.monotonic()
+                error, *_ = await session.run(request_id, "READ item")
+                self.answered[request_id] = error or "OK"
+            except SessionLost:
+                session = None
+            await asyncio.sleep(PAUSE_S)
+        if session is not None:
+            session.close()
+
+    async def run(self, ports):
+        self.end = time.monotonic() + HOT_S
+        await asyncio.gather(*(self.ask(port, PAUSE_S * number / SESSIONS)
+                               for port in ports for number in range(SESSIONS)))
+
+
+async def read_once(site):
+    """One operation at each instance, so that the connections to the servers are open."""
+    for instance in site.instances:
+        session = await Session.open(instance.callers, "own", f"{ACCOUNT}-key")
+        await session.run("0", "READ item")
+        session.close()
+
+
+def most_in_window(times):
+    """The largest number of operations that were sent and ran in one window, and its start."""
+    best = (0, 0.0)
+    for start in sorted(sent for sent, _ in times):
+        inside = sum(start <= sent and ran <= start + WINDOW_S for sent, ran in times)
+        best = max(best, (inside, start))
+    return best
 
 
 def case(record):
-    platform = Platform()
+    platform_module.Store = StaleStore
+    backend.Connection = TimedConnection
+    platform = Platform(RATE, BURST)
     platform.keys.clear()
-    for account, rate in RATES.items():
-        platform.keys[account] = [f"{account}-key"]
-        platform.limits[account] = (rate, rate)
+    platform.keys[ACCOUNT] = [f"{ACCOUNT}-key"]
     platform.call(platform.publish)
-    silent = SilentPorts()
     with Site(platform, platform.zones) as site:
-        for zone, count in MACHINES:
-            for number in range(count):
-                site.add(f"front-{zone}-{number + 1}", f"zone-{zone}")
+        time.sleep(STALE_S + 0.5)
+        for name, zone in OLD:
+            site.add(name, zone)
         site.wait_ready()
+        time.sleep(LISTED_S)
+        asyncio.run(read_once(site))
+        time.sleep(1.5)
         if TROUBLE:
-            for number in range(REPLACED):
-                replace(site, silent, number)
-            site.wait_ready()
-            record.say(f"{REPLACED} machines were replaced")
-        time.sleep(FORGOTTEN_S)
-        clients = Clients(site, record)
-        before, counts = asyncio.run(clients.run(MEASURED_S))
-        record.say(f"before: {before:.2f} of the operations are served, {counts}")
-        if before < 0.25:
-            raise CannotRun("too little is served before the fault")
-        for instance in site.instances:
-            instance.signal(signal.SIGKILL)
+            record.say("a machine is added in each zone")
+            site.wait_ready([site.add(name, zone) for name, zone in ADDED])
+            record.say("the added machines are ready")
+        traffic = Traffic()
+        asyncio.run(traffic.run([instance.callers for instance in site.instances]))
+        time.sleep(0.3)
+        times = [(at, RUNS[name]) for name, at in traffic.sent.items() if name in RUNS]
+        for name, at in traffic.sent.items():
+            ran = f", ran {RUNS[name] - record.started:.3f}" if name in RUNS else ""
+            record.write(f"{name} sent {at - record.started:.3f}{ran}, answered {traffic.answered.get(name)}")
+        most, start = most_in_window(times)
+        bound = (RATE * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
+        record.say(f"answers {dict(collections.Counter(traffic.answered.values()))}")
+        record.say(f"{most} operations of {ACCOUNT} ran in the {WINDOW_S} s from {start - record.started:.3f} s; "
+                   f"the bound is {bound:.0f}")
         for instance in site.instances:
-            instance.process.wait()
-        time.sleep(1.0)
-        for instance in site.instances:
-            instance.start()
-        site.wait_ready()
-        back = time.monotonic()
-        record.say("all machines are back and ready")
-        time.sleep(RECOVER_S)
-        after, counts = asyncio.run(clients.run(MEASURED_S))
-        record.say(f"from {RECOVER_S} s after they were back: {after:.2f} are served, {counts}")
-        record.say(f"measured until {time.monotonic() - back:.1f} s after they were back")
-        return after >= 0.25
+            with open(instance.log_path, encoding="utf-8", errors="replace") as log:
+                shares = [line.split("share_per_s=")[1].split(" ")[0] for line in log
+                          if "event=rate_refused" in line and "share_per_s" in line]
+            record.say(f"{instance.name}: refused by rate {len(shares)} times, shares {sorted(set(shares))}")
+        if not times:
+            raise CannotRun("nothing ran")
+        return most <= bound
 
 
 site_2.main(case, FOLDER)
