--- a/review/lib-2/site_2.py
+++ b/review/lib-2/site_2.py
@@ -155,6 +155,12 @@
         time.sleep(0.02)
 
 
+def record_runs(platform, record):
+    """Writes what the servers ran, by server in the order of the runs."""
+    for server, (request_id, account, words, state, _) in platform.runs():
+        record.write(f"{server.id} ran {request_id} of {account} in state {state}: {' '.join(words)}")
+
+
 class SessionLost(Exception):
     """The connection ended."""
 
